--- /dev/null
+++ b/crates/cornelwinch_admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Customer plans: rates, concurrency, priority and allowed searches.
--- /dev/null
+++ b/crates/cornelwinch_bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Open-loop load generator and experiments.
--- /dev/null
+++ b/crates/cornelwinch_gather/src/lib.rs
@@ -0,0 +1,1 @@
+//! Gathers one query over the shards of one snapshot.
--- /dev/null
+++ b/crates/cornelwinch_host/src/lib.rs
@@ -0,0 +1,1 @@
+//! The composed state machine of an entry host.
--- /dev/null
+++ b/crates/cornelwinch_http/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP listener with bounds on connections, body size and idle time.
--- /dev/null
+++ b/crates/cornelwinch_limiter/src/lib.rs
@@ -0,0 +1,1 @@
+//! Slots, queue, cold start and circuit of one upstream.
--- /dev/null
+++ b/crates/cornelwinch_membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! SWIM membership within an availability zone and digests between zones.
--- /dev/null
+++ b/crates/cornelwinch_peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages and transport between hosts.
--- /dev/null
+++ b/crates/cornelwinch_placement/src/lib.rs
@@ -0,0 +1,1 @@
+//! Assignment of upstreams to owner hosts by bounded rendezvous hashing.
--- /dev/null
+++ b/crates/cornelwinch_tickets/src/lib.rs
@@ -0,0 +1,1 @@
+//! Non-idempotent requests that run at most once.
--- /dev/null
+++ b/crates/cornelwinch_types/src/fingerprint.rs
@@ -0,0 +1,25 @@
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_128;
+
+/// Hash of a request's search and body, used to recognise a request that is
+/// sent again.
+///
+/// ```
+/// use cornelwinch_types::Fingerprint;
+///
+/// assert_eq!(Fingerprint::of("portal", "atlas"), Fingerprint::of("portal", "atlas"));
+/// assert_ne!(Fingerprint::of("portal", "atlas"), Fingerprint::of("stock", "atlas"));
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Fingerprint(u128);
+
+impl Fingerprint {
+    /// Hashes a search name and a request body.
+    pub fn of(search: &str, body: &str) -> Self {
+        let mut buf = Vec::with_capacity(search.len() + body.len() + 1);
+        buf.extend_from_slice(search.as_bytes());
+        buf.push(0);
+        buf.extend_from_slice(body.as_bytes());
+        Self(xxh3_128(&buf))
+    }
+}
--- /dev/null
+++ b/crates/cornelwinch_types/src/lib.rs
@@ -0,0 +1,18 @@
+//! Identifiers, shard maps, members and leg messages shared by the
+//! cornelwinch crates.
+
+mod fingerprint;
+mod id;
+mod leg;
+mod member;
+mod outcome;
+mod range;
+mod snapshot;
+
+pub use fingerprint::Fingerprint;
+pub use id::{AttemptId, Incarnation, Name, QueryId, Revision, SnapshotId};
+pub use leg::{Hit, LegAnswer, LegFailure, LegRequest, LegResult, Refusal, UpstreamSigns};
+pub use member::{Member, MemberState};
+pub use outcome::Outcome;
+pub use range::KeyRange;
+pub use snapshot::{Shard, Snapshot, SnapshotError};
--- /dev/null
+++ b/src/bin/cornelwinch.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/cornelwinchd.rs
@@ -0,0 +1,3 @@
+//! The daemon of an entry host.
+
+fn main() {}
