Add a crate for the platform client

Cause: the command line and the daemon both speak the platform's object API. Ruled out: a client in each of them, which would duplicate the conflict and lost-response handling. Conclusion: both binaries will share one client.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,5 +15,6 @@
 pub use cornelwinch_membership as membership;
 pub use cornelwinch_peer as peer;
 pub use cornelwinch_placement as placement;
+pub use cornelwinch_platform as platform;
 pub use cornelwinch_tickets as tickets;
 pub use cornelwinch_types as types;
