Add the limiter of one upstream

Cause: the owner of an upstream has to bound its load at every moment, also in a cold start, after a takeover and while legs of the previous owner finish. Ruled out: a fractional limit (with 2 to 4 slots whole numbers suffice and the rounds are exact); a timer for the end of a cold start (the upstream warms by running legs, not by time); counting a cancelled leg as finished (the upstream may go on running it). Change: `Limiter` with queue, ramp and circuit breaker as plain structs.

--- a/crates/cornelwinch_limiter/src/lib.rs
+++ b/crates/cornelwinch_limiter/src/lib.rs
@@ -1,1 +1,13 @@
 //! Slots, queue, cold start and circuit of one upstream.
+
+mod circuit;
+mod config;
+mod dispatch;
+mod in_flight;
+mod limiter;
+mod queue;
+mod ramp;
+mod signs;
+
+pub use config::{HandoverState, LimiterAction, LimiterConfig, Start};
+pub use limiter::Limiter;
--- /dev/null
+++ b/crates/cornelwinch_limiter/src/queue.rs
@@ -0,0 +1,161 @@
+use std::collections::VecDeque;
+use std::time::Instant;
+
+use cornelwinch_types::{AttemptId, LegRequest, Name};
+
+/// A submitted leg that has no reply yet.
+#[derive(Debug)]
+pub(crate) struct Waiter {
+    pub(crate) req: LegRequest,
+    pub(crate) from: Name,
+    pub(crate) deadline: Instant,
+}
+
+/// Legs that one execution answers; more than one only if they are identical.
+#[derive(Debug)]
+pub(crate) struct Execution {
+    pub(crate) waiters: Vec<Waiter>,
+    sequence: u64,
+}
+
+impl Execution {
+    /// Order in the queue: the most urgent waiter, then the order of arrival.
+    fn key(&self) -> (u8, Option<Instant>, u64) {
+        let urgent = self
+            .waiters
+            .iter()
+            .map(|w| (w.req.priority, w.deadline))
+            .min();
+        let (priority, deadline) = urgent.map_or((u8::MAX, None), |(p, d)| (p, Some(d)));
+        (priority, deadline, self.sequence)
+    }
+
+    fn accepts(&self, req: &LegRequest) -> bool {
+        self.waiters.first().is_some_and(|w| {
+            let own = &w.req;
+            own.idempotent
+                && req.idempotent
+                && own.fingerprint == req.fingerprint
+                && own.search == req.search
+                && own.snapshot == req.snapshot
+                && own.range == req.range
+                && own.body == req.body
+        })
+    }
+}
+
+/// Waiting legs by priority, then deadline.
+#[derive(Debug, Default)]
+pub(crate) struct Queue {
+    executions: VecDeque<Execution>,
+    sequence: u64,
+    legs: usize,
+}
+
+impl Queue {
+    /// Number of waiting legs.
+    pub(crate) fn legs(&self) -> usize {
+        self.legs
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.executions.is_empty()
+    }
+
+    /// Adds a leg, to a waiting identical one if `share`.
+    pub(crate) fn insert(&mut self, waiter: Waiter, share: bool) {
+        self.legs += 1;
+        let twin = if share {
+            self.executions.iter().position(|e| e.accepts(&waiter.req))
+        } else {
+            None
+        };
+        let execution = match twin.and_then(|i| self.executions.remove(i)) {
+            Some(mut execution) => {
+                execution.waiters.push(waiter);
+                execution
+            }
+            None => {
+                self.sequence += 1;
+                Execution {
+                    waiters: vec![waiter],
+                    sequence: self.sequence,
+                }
+            }
+        };
+        self.place(execution);
+    }
+
+    pub(crate) fn pop(&mut self) -> Option<Execution> {
+        let execution = self.executions.pop_front()?;
+        self.legs -= execution.waiters.len();
+        Some(execution)
+    }
+
+    /// Removes the waiter of an attempt.
+    pub(crate) fn remove(&mut self, attempt: AttemptId) -> Option<Waiter> {
+        let find = |e: &Execution| e.waiters.iter().position(|w| w.req.attempt == attempt);
+        let (i, j) = self
+            .executions
+            .iter()
+            .enumerate()
+            .find_map(|(i, e)| Some((i, find(e)?)))?;
+        let mut execution = self.executions.remove(i)?;
+        let waiter = execution.waiters.remove(j);
+        self.legs -= 1;
+        if !execution.waiters.is_empty() {
+            self.place(execution);
+        }
+        Some(waiter)
+    }
+
+    /// Removes the leg of lowest priority, among equals that with the latest
+    /// deadline.
+    pub(crate) fn remove_worst(&mut self) -> Option<Waiter> {
+        let worst = self
+            .waiters()
+            .max_by_key(|w| (w.req.priority, w.deadline))?;
+        self.remove(worst.req.attempt)
+    }
+
+    /// Removes the legs for which `late(position of the execution, deadline)`
+    /// holds.
+    pub(crate) fn remove_late(&mut self, late: impl Fn(usize, Instant) -> bool) -> Vec<Waiter> {
+        let mut position = 0;
+        let mut attempts = Vec::new();
+        for execution in &self.executions {
+            let before = attempts.len();
+            let is_late = |w: &&Waiter| late(position, w.deadline);
+            attempts.extend(
+                execution
+                    .waiters
+                    .iter()
+                    .filter(is_late)
+                    .map(|w| w.req.attempt),
+            );
+            // An execution that is removed delays none of those behind it.
+            if attempts.len() - before < execution.waiters.len() {
+                position += 1;
+            }
+        }
+        attempts
+            .into_iter()
+            .filter_map(|a| self.remove(a))
+            .collect()
+    }
+
+    pub(crate) fn take_all(&mut self) -> Vec<Waiter> {
+        self.legs = 0;
+        self.executions.drain(..).flat_map(|e| e.waiters).collect()
+    }
+
+    pub(crate) fn waiters(&self) -> impl Iterator<Item = &Waiter> {
+        self.executions.iter().flat_map(|e| &e.waiters)
+    }
+
+    fn place(&mut self, execution: Execution) {
+        let key = execution.key();
+        let i = self.executions.partition_point(|e| e.key() < key);
+        self.executions.insert(i, execution);
+    }
+}
