Add the bounded HTTP listener

Cause: the daemon and the stand-ins need an HTTP listener; tiny_http alone has a thread per connection and no read timeout, so silent callers would use up the threads. Change: a tokio relay owns the callers' sockets, reads each request whole within the limits and passes it on over a pooled loopback connection; workers run the handler, one thread writes answers. Loopback connections are opened one at a time and confirmed, since tiny_http can queue a connection behind a busy thread.

--- /dev/null
+++ b/crates/cornelwinch_http/src/backend.rs
@@ -0,0 +1,102 @@
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::head::{AnswerHead, EXCHANGE_FIELD, parse_answer};
+
+/// Loopback connections kept open without a request; each holds a thread of
+/// `tiny_http`, which ends soon after its connection closes.
+const IDLE_BACKENDS: usize = 32;
+
+/// Value of the exchange field in the request that tests a new connection.
+pub(crate) const PROBE: &str = "probe";
+
+/// Loopback connections to `tiny_http`, one for each request in progress.
+pub(crate) struct Backends {
+    addr: SocketAddr,
+    idle: Mutex<Vec<TcpStream>>,
+    opening: tokio::sync::Mutex<()>,
+}
+
+/// An answer of `tiny_http`.
+pub(crate) struct BackendAnswer {
+    pub(crate) head: AnswerHead,
+    pub(crate) body: Vec<u8>,
+}
+
+impl Backends {
+    pub(crate) fn new(addr: SocketAddr) -> Self {
+        Self {
+            addr,
+            idle: Mutex::new(Vec::new()),
+            opening: tokio::sync::Mutex::new(()),
+        }
+    }
+
+    /// Takes an idle connection or opens one.
+    pub(crate) async fn take(&self) -> io::Result<TcpStream> {
+        if let Some(stream) = self.pop() {
+            return Ok(stream);
+        }
+        // `tiny_http` can queue a second new connection behind a thread that
+        // has been woken for the first one; it is then served only when some
+        // other connection ends. So connections are opened one at a time, each
+        // confirmed by an answer.
+        let _opening = self.opening.lock().await;
+        if let Some(stream) = self.pop() {
+            return Ok(stream);
+        }
+        let mut stream = TcpStream::connect(self.addr).await?;
+        stream.set_nodelay(true)?;
+        let probe = format!("GET / HTTP/1.1\r\n{EXCHANGE_FIELD}: {PROBE}\r\n\r\n");
+        stream.write_all(probe.as_bytes()).await?;
+        read_answer(&mut stream, false).await?;
+        Ok(stream)
+    }
+
+    /// Puts a connection back after a whole answer.
+    pub(crate) fn put(&self, stream: TcpStream) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        if idle.len() < IDLE_BACKENDS {
+            idle.push(stream);
+        }
+    }
+
+    fn pop(&self) -> Option<TcpStream> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.pop()
+    }
+}
+
+/// Reads one answer. It is read whole before it is sent on, so that the writer
+/// thread never waits for a slow caller.
+pub(crate) async fn read_answer(
+    stream: &mut TcpStream,
+    is_head: bool,
+) -> io::Result<BackendAnswer> {
+    let mut buf = Vec::with_capacity(1024);
+    let head = loop {
+        if stream.read_buf(&mut buf).await? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        match parse_answer(&buf) {
+            Ok(Some(head)) => break head,
+            Ok(None) => {}
+            Err(error) => return Err(io::Error::new(io::ErrorKind::InvalidData, error)),
+        }
+    };
+    let mut body = buf.split_off(head.len);
+    if !is_head && head.status != 204 {
+        let missing = head.content_length.saturating_sub(body.len());
+        body.reserve(missing);
+        while body.len() < head.content_length {
+            if stream.read_buf(&mut body).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+    Ok(BackendAnswer { head, body })
+}
