Hold configuration entries by revision and validate them

Hosts receive entries from the platform and from peers in any order, and a newer value must never be replaced by an older one. A map by kind and name was ruled out by the house style and inserting each entry at its place by the cost of a first list of 76,000 upstreams, so new names are appended and sorted once. An entry that breaks a rule of its kind leaves the last good value in force and is listed as rejected; references are checked by the command line only, because a daemon may receive an entry before the one it refers to.

--- a/crates/cornelwinch_config/src/lib.rs
+++ b/crates/cornelwinch_config/src/lib.rs
@@ -1,8 +1,14 @@
 //! Settings files and versioned configuration entries of cornelwinch.
 
 mod entry;
+mod kind;
+mod state;
+mod validate;
 
 pub use entry::{
     ClassPolicy, CustomerSpec, Entry, EntryValue, HostSpec, PlanSpec, SearchSpec, ServiceState,
     UpstreamSpec, ZoneSpec,
 };
+pub use kind::{Kind, UnknownKind};
+pub use state::{ConfigState, RejectedEntry};
+pub use validate::{ValidationError, check_spec, validate};
