Read the settings file of a host

The daemon needs its addresses, zone and limits before it starts, and an operator needs to see at a glance which line of the file is wrong. Reading the file into a struct by serde was ruled out: its errors have no line of the key and no expected value. The syntax tree of jsonc-parser keeps the positions, so each error is one line with file, line, key, expected and found value. Unknown keys are refused before missing ones are reported, so that a misspelt key is named itself.

Defaults: drain limit 30 s, balancer delay 5 s, 1,024 caller connections, bodies of 1 MiB, 60 s idle, 256 legs queued per upstream, log level info. No figures were measured for them.

--- a/crates/cornelwinch_config/src/lib.rs
+++ b/crates/cornelwinch_config/src/lib.rs
@@ -2,6 +2,8 @@
 
 mod entry;
 mod kind;
+mod reader;
+mod settings;
 mod state;
 mod validate;
 
@@ -10,5 +12,6 @@
     UpstreamSpec, ZoneSpec,
 };
 pub use kind::{Kind, UnknownKind};
+pub use settings::{LimitSettings, LogSettings, Settings, SettingsError};
 pub use state::{ConfigState, RejectedEntry};
 pub use validate::{ValidationError, check_spec, validate};
