Test configuration entries and the settings file

Entries arrive from two sources in any order, and the texts of errors are what operators act on, so both need a guard.

revert now compares the table with the entries that it replaced; before, it repeated the condition that had let them in. A syntax error now says so.

--- a/crates/cornelwinch_config/src/reader.rs
+++ b/crates/cornelwinch_config/src/reader.rs
@@ -39,7 +39,7 @@
                 None => Err(self.error(0, "", "a JSON object", "an empty file")),
             },
             Err(e) => {
-                let found = e.kind().to_string();
+                let found = format!("invalid syntax ({})", e.kind());
                 Err(self.error(e.range().start, "", "JSON with comments", &found))
             }
         }
--- a/crates/cornelwinch_config/src/state.rs
+++ b/crates/cornelwinch_config/src/state.rs
@@ -69,20 +69,16 @@
     pub fn apply(&mut self, entries: Vec<Entry>, through: Revision) -> Vec<Entry> {
         let before = self.revision;
         let mut applied = Vec::new();
+        let mut replaced = Vec::new();
         // New names are appended and sorted once: inserting each at its place
         // moves half the table for each of 76,000 upstreams of a first list.
         let mut added = Vec::new();
         for entry in entries {
             match self.position(entry.kind(), &entry.name) {
                 Ok(i) => {
-                    let held = self.entries[i].revision;
-                    let revision = entry.revision;
-                    if revision > held && self.accept(&entry) {
-                        self.check(revision > held, || {
-                            format!("entry went from revision {held} to {revision}")
-                        });
-                        self.entries[i] = entry.clone();
-                        applied.push(entry);
+                    if entry.revision > self.entries[i].revision && self.accept(&entry) {
+                        applied.push(entry.clone());
+                        replaced.push(std::mem::replace(&mut self.entries[i], entry));
                     }
                 }
                 Err(_) => {
@@ -103,11 +99,8 @@
                 .sort_by(|a, b| (a.kind(), &a.name).cmp(&(b.kind(), &b.name)));
         }
         self.rebuild(&applied);
-        let after = before.max(through);
-        self.revision = after;
-        self.check(after >= before, || {
-            format!("revision went from {before} to {after}")
-        });
+        self.revision = before.max(through);
+        self.check_not_reverted(before, &replaced);
         applied.sort_by_key(|entry| entry.revision);
         applied
     }
@@ -346,21 +339,27 @@
         }
     }
 
-    /// Asserts that configuration does not revert: logs and counts a failure,
-    /// and aborts in debug builds.
-    fn check(&mut self, holds: bool, describe: impl FnOnce() -> String) {
-        if !holds {
+    /// Asserts that nothing in force reverts: logs and counts a failure, and
+    /// aborts in debug builds.
+    fn check_not_reverted(&mut self, revision: Revision, replaced: &[Entry]) {
+        let mut failure = None;
+        if self.revision < revision {
+            failure = Some(format!("revision from {revision} to {}", self.revision));
+        }
+        for old in replaced {
+            let held = self
+                .entry(old.kind(), &old.name)
+                .map(|entry| entry.revision);
+            if held.is_none_or(|held| held <= old.revision) {
+                let (kind, name) = (old.kind(), &old.name);
+                failure = Some(format!("{kind} {name} from {} to {held:?}", old.revision));
+            }
+        }
+        if let Some(text) = failure {
             self.violations += 1;
+            error!("event=invariant_failed invariant=config_never_reverts detail=\"{text}\"");
+            debug_assert!(false, "configuration reverted: {text}");
         }
-        assert_or_log(holds, describe);
-    }
-}
-
-fn assert_or_log(holds: bool, describe: impl FnOnce() -> String) {
-    if !holds {
-        let text = describe();
-        error!("event=invariant_failed invariant=config_never_reverts detail=\"{text}\"");
-        debug_assert!(holds, "configuration reverted: {text}");
     }
 }
 
