--- a/crates/cornelwinch_http/src/backend.rs
+++ b/crates/cornelwinch_http/src/backend.rs
@@ -4,12 +4,13 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
 
 use crate::head::{AnswerHead, EXCHANGE_FIELD, parse_answer};
 
 /// Loopback connections kept open without a request; each holds a thread of
 /// `tiny_http`, which ends soon after its connection closes.
-const IDLE_BACKENDS: usize = 32;
+const IDLE_BACKENDS: usize = 64;
 
 /// Value of the exchange field in the request that tests a new connection.
 pub(crate) const PROBE: &str = "probe";
@@ -18,6 +19,8 @@
 pub(crate) struct Backends {
     addr: SocketAddr,
     idle: Mutex<Vec<TcpStream>>,
+    /// A permit for each idle connection.
+    available: Semaphore,
     opening: tokio::sync::Mutex<()>,
 }
 
@@ -32,23 +35,26 @@
         Self {
             addr,
             idle: Mutex::new(Vec::new()),
+            available: Semaphore::new(0),
             opening: tokio::sync::Mutex::new(()),
         }
     }
 
-    /// Takes an idle connection or opens one.
+    /// Takes an idle connection or opens one, whichever is ready first.
     pub(crate) async fn take(&self) -> io::Result<TcpStream> {
-        if let Some(stream) = self.pop() {
-            return Ok(stream);
-        }
         // `tiny_http` can queue a second new connection behind a thread that
         // has been woken for the first one; it is then served only when some
         // other connection ends. So connections are opened one at a time, each
         // confirmed by an answer.
-        let _opening = self.opening.lock().await;
-        if let Some(stream) = self.pop() {
-            return Ok(stream);
-        }
+        let _opening = tokio::select! {
+            biased;
+            Ok(permit) = self.available.acquire() => {
+                permit.forget();
+                let stream = self.idle.lock().unwrap_or_else(PoisonError::into_inner).pop();
+                return stream.ok_or_else(|| io::ErrorKind::NotConnected.into());
+            }
+            opening = self.opening.lock() => opening,
+        };
         let mut stream = TcpStream::connect(self.addr).await?;
         stream.set_nodelay(true)?;
         let probe = format!("GET / HTTP/1.1\r\n{EXCHANGE_FIELD}: {PROBE}\r\n\r\n");
@@ -62,13 +68,9 @@
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         if idle.len() < IDLE_BACKENDS {
             idle.push(stream);
+            self.available.add_permits(1);
         }
     }
-
-    fn pop(&self) -> Option<TcpStream> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.pop()
-    }
 }
 
 /// Reads one answer. It is read whole before it is sent on, so that the writer
