Serve a query end to end through separate processes

Cause: the parts existed, but no request could pass from a caller through a host and the owner of an upstream to the upstream and back. Ruled out: a first version in one process, which would not show the handshake, the membership and the configuration as they run later.

--- a/crates/cornelwinch_gather/src/answer.rs
+++ b/crates/cornelwinch_gather/src/answer.rs
@@ -129,7 +129,7 @@
         ));
     }
     let keys = |ranges: &[KeyRange]| ranges.iter().map(|r| r.end - r.start).sum::<u64>();
-    let of_shards = snapshot
+    let of_shards: u64 = snapshot
         .shards
         .iter()
         .map(|shard| shard.range.end - shard.range.start)
--- /dev/null
+++ b/crates/cornelwinch_host/src/host.rs
@@ -0,0 +1,532 @@
+use std::time::{Duration, Instant};
+
+use cornelwinch_admission::{Admission, AdmissionAction, AdmissionConfig};
+use cornelwinch_gather::{GatherConfig, GatherStats};
+use cornelwinch_membership::{Membership, MembershipAction, MembershipConfig};
+use cornelwinch_placement::Placement;
+use cornelwinch_types::{AttemptId, LegRequest, LegResult, Member, MemberState, Name, Refusal};
+
+use crate::owners::{OwnerLimits, OwnerOutput, Owners};
+use crate::queries::Queries;
+use crate::router::{Delivery, LegOrigin, LegRouter, Routing};
+use crate::shutdown::Draining;
+use crate::sync::ConfigSync;
+use crate::{Action, Input, LegDone, LegRef, PeerMessage};
+
+/// Longest time between two turns. A longer gap means that the process or the
+/// machine was paused.
+const TURN_PERIOD: Duration = Duration::from_millis(250);
+
+/// Settings of a [`Host`].
+#[derive(Debug, Clone)]
+pub struct HostConfig {
+    /// This host as it announces itself.
+    pub me: Member,
+    /// Settings of the membership protocol.
+    pub membership: MembershipConfig,
+    /// A gap between turns longer than this makes ownerships unconfirmed.
+    pub suspicion: Duration,
+    /// Time for which a new owner stays at the cold limit after a crash of the
+    /// previous one.
+    pub guard: Duration,
+    /// Time for which a new owner sends nothing after a crash of the previous
+    /// one, so that the legs of that owner have ended.
+    pub settle: Duration,
+    /// Legs that wait for one upstream.
+    pub queue_per_upstream: usize,
+    /// Queries in progress; more are refused.
+    pub queries: usize,
+    /// Time for which the host accepts requests after readiness is off.
+    pub balancer_delay: Duration,
+    /// Time after which a shutdown stops waiting for work in flight.
+    pub drain_limit: Duration,
+}
+
+/// One entry host without its sockets.
+#[derive(Debug)]
+pub struct Host {
+    pub(crate) cfg: HostConfig,
+    pub(crate) membership: Membership,
+    pub(crate) placement: Placement,
+    pub(crate) sync: ConfigSync,
+    pub(crate) admission: Admission,
+    pub(crate) stats: GatherStats,
+    pub(crate) queries: Queries,
+    pub(crate) owners: Owners,
+    pub(crate) router: LegRouter,
+    pub(crate) leaving_upstreams: Vec<Name>,
+    pub(crate) watching: bool,
+    pub(crate) next_watch: Option<Instant>,
+    pub(crate) next_hosts: Option<Instant>,
+    pub(crate) draining: Option<Draining>,
+    last_turn: Instant,
+    /// The other hosts know this one, so that it has a share of each rate.
+    has_shares: bool,
+    /// Results of legs that are to be delivered in this turn.
+    pub(crate) deliveries: Vec<Delivery>,
+}
+
+impl Host {
+    /// Starts a host. It is ready once it has a configuration.
+    pub fn open(
+        now: Instant,
+        cfg: HostConfig,
+        mut rng: fastrand::Rng,
+        out: &mut Vec<Action>,
+    ) -> Self {
+        let me = cfg.me.clone();
+        let mut membership_out = Vec::new();
+        let membership = Membership::open(
+            now,
+            cfg.membership.clone(),
+            me.clone(),
+            rng.fork(),
+            &mut membership_out,
+        );
+        let limits = OwnerLimits {
+            guard: cfg.guard,
+            settle: cfg.settle,
+            queue: cfg.queue_per_upstream,
+        };
+        let mut host = Self {
+            placement: Placement::compute(&[], membership.members()),
+            membership,
+            sync: ConfigSync::new(),
+            admission: Admission::open(
+                now,
+                me.name.clone(),
+                AdmissionConfig::default(),
+                rng.fork(),
+            ),
+            stats: GatherStats::new(GatherConfig::new(me.zone.clone()), rng.fork()),
+            queries: Queries::new(cfg.queries),
+            owners: Owners::new(limits),
+            router: LegRouter::default(),
+            leaving_upstreams: Vec::new(),
+            watching: false,
+            next_watch: Some(now),
+            next_hosts: Some(now),
+            draining: None,
+            last_turn: now,
+            has_shares: false,
+            deliveries: Vec::new(),
+            cfg,
+        };
+        host.on_membership(now, membership_out, out);
+        host.refresh_hosts(now);
+        host.call_platform(now, out);
+        host.finish_turn(now, out);
+        host
+    }
+
+    /// Name of this host.
+    pub fn name(&self) -> &Name {
+        &self.cfg.me.name
+    }
+
+    /// Reports whether a load balancer may route requests to this host.
+    pub fn is_ready(&self) -> bool {
+        self.draining.is_none() && self.sync.is_ready() && self.has_shares && !self.is_host_out()
+    }
+
+    /// Reports whether the host is shutting down.
+    pub fn is_draining(&self) -> bool {
+        self.draining.is_some()
+    }
+
+    /// Takes one input.
+    pub fn handle(&mut self, now: Instant, input: Input, out: &mut Vec<Action>) {
+        self.start_turn(now, out);
+        match input {
+            Input::Caller { caller, request } => self.on_caller(now, caller, request, out),
+            Input::CallerGone { caller } => self.on_caller_gone(now, caller, out),
+            Input::Peer { from, msg } => self.on_peer(now, &from, msg, out),
+            Input::PeerDown { peer, unsent } => self.on_peer_down(&peer, &unsent),
+            Input::Upstream {
+                upstream,
+                attempt,
+                result,
+                signs,
+            } => {
+                let mut owner_out = OwnerOutput::default();
+                self.owners
+                    .finish(now, &upstream, attempt, result, signs, &mut owner_out);
+                self.on_owner_output(now, owner_out, out);
+            }
+            Input::UpstreamHealth { upstream, leaving } => {
+                self.on_upstream_health(now, &upstream, leaving, out);
+            }
+            Input::Platform(event) => self.on_platform(now, event, out),
+            Input::Datagram { from, buf } => {
+                let mut actions = Vec::new();
+                self.membership.on_datagram(now, from, &buf, &mut actions);
+                self.on_membership(now, actions, out);
+            }
+            Input::Shutdown => self.on_shutdown(now),
+        }
+        self.finish_turn(now, out);
+    }
+
+    /// Runs the timers that are due.
+    pub fn on_wake(&mut self, now: Instant, out: &mut Vec<Action>) {
+        self.start_turn(now, out);
+        let mut actions = Vec::new();
+        self.membership.on_wake(now, &mut actions);
+        self.on_membership(now, actions, out);
+        let mut owner_out = OwnerOutput::default();
+        self.owners.on_wake(now, &mut owner_out);
+        self.on_owner_output(now, owner_out, out);
+        self.wake_queries(now, out);
+        let mut actions = Vec::new();
+        self.admission.on_wake(now, &mut actions);
+        self.on_admission(actions);
+        if let Some((to, msg)) = self.sync.on_wake(now) {
+            self.router.push(&to, msg);
+        }
+        self.call_platform(now, out);
+        self.advance_shutdown(now, out);
+        self.finish_turn(now, out);
+    }
+
+    /// Time of the next call of [`Host::on_wake`].
+    pub fn next_wake(&self) -> Instant {
+        let timers = [
+            self.membership.next_wake(),
+            self.owners.next_wake(),
+            self.queries.next_wake(),
+            self.admission.next_wake(),
+            self.sync.next_wake(),
+            self.next_watch.filter(|_| !self.watching),
+            self.next_hosts,
+        ];
+        let turn = self.last_turn + TURN_PERIOD;
+        timers.into_iter().flatten().fold(turn, Instant::min)
+    }
+
+    /// Notes a pause of the process: what this host owned may have another
+    /// owner now, until a member confirms the opposite.
+    fn start_turn(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let gap = now.saturating_duration_since(self.last_turn);
+        self.last_turn = now;
+        self.has_shares = self.has_shares || self.admission.is_settled(now);
+        if gap > self.cfg.suspicion {
+            log::warn!("event=process_paused gap_ms={}", gap.as_millis());
+            let mut owner_out = OwnerOutput::default();
+            self.owners.set_confirmed(now, false, &mut owner_out);
+            self.on_owner_output(now, owner_out, out);
+            // The membership protocol notices the gap in its own turn, and only
+            // then stops to call this host confirmed.
+            let mut actions = Vec::new();
+            self.membership.on_wake(now, &mut actions);
+            self.on_membership(now, actions, out);
+        }
+    }
+
+    /// Delivers results until none are left, then sends the messages.
+    fn finish_turn(&mut self, now: Instant, out: &mut Vec<Action>) {
+        while let Some(delivery) = self.deliveries.pop() {
+            match delivery.origin {
+                LegOrigin::Query(query) => {
+                    self.deliver_to_query(now, query, delivery.attempt, delivery.result, out);
+                }
+            }
+        }
+        self.share_quarantine();
+        for (to, msg) in self.router.take_outbox() {
+            match self.peer_addr(&to) {
+                Some(addr) => out.push(Action::SendPeer { to, addr, msg }),
+                None => self.on_unroutable(&to, msg),
+            }
+        }
+        if !self.deliveries.is_empty() {
+            self.finish_turn(now, out);
+        }
+    }
+
+    /// A message for a host that is not in the member table never leaves.
+    fn on_unroutable(&mut self, to: &Name, msg: PeerMessage) {
+        self.on_peer_down(to, &[msg]);
+    }
+
+    fn peer_addr(&self, name: &Name) -> Option<std::net::SocketAddr> {
+        let members = self.membership.members();
+        let i = members
+            .binary_search_by(|member| member.name.cmp(name))
+            .ok()?;
+        Some(members[i].peer)
+    }
+
+    /// Sends a leg to the owner of its upstream.
+    pub(crate) fn route_leg(
+        &mut self,
+        now: Instant,
+        leg: LegRequest,
+        origin: LegOrigin,
+        out: &mut Vec<Action>,
+    ) {
+        match self.placement.owner(&leg.upstream).cloned() {
+            Some(owner) => self.send_leg(now, leg, origin, &owner, false, out),
+            None => self.deliveries.push(Delivery {
+                origin,
+                attempt: leg.attempt,
+                result: LegResult::Refused(Refusal::Unreachable),
+            }),
+        }
+    }
+
+    fn send_leg(
+        &mut self,
+        now: Instant,
+        leg: LegRequest,
+        origin: LegOrigin,
+        owner: &Name,
+        redirected: bool,
+        out: &mut Vec<Action>,
+    ) {
+        if !self.router.record(now, &leg, origin, owner, redirected) {
+            self.deliveries.push(Delivery {
+                origin,
+                attempt: leg.attempt,
+                result: LegResult::Refused(Refusal::Overloaded),
+            });
+        } else if *owner == self.cfg.me.name {
+            let mut owner_out = OwnerOutput::default();
+            self.owners.submit(now, leg, owner.clone(), &mut owner_out);
+            self.on_owner_output(now, owner_out, out);
+        } else {
+            self.router.push_leg(owner, leg);
+        }
+    }
+
+    /// Cancels a leg that this host sent.
+    pub(crate) fn cancel_leg(&mut self, now: Instant, attempt: AttemptId, out: &mut Vec<Action>) {
+        let Some((owner, leg)) = self.router.cancel(attempt) else {
+            return;
+        };
+        if owner == self.cfg.me.name {
+            let mut owner_out = OwnerOutput::default();
+            self.owners
+                .cancel(now, &leg.upstream, attempt, &mut owner_out);
+            self.on_owner_output(now, owner_out, out);
+        } else {
+            self.router.push(&owner, PeerMessage::CancelLegs(vec![leg]));
+        }
+    }
+
+    /// Passes on what the owned upstreams ask for.
+    pub(crate) fn on_owner_output(
+        &mut self,
+        now: Instant,
+        owner_out: OwnerOutput,
+        out: &mut Vec<Action>,
+    ) {
+        out.extend(owner_out.actions);
+        for (to, msg) in owner_out.messages {
+            self.router.push(&to, msg);
+        }
+        for reply in owner_out.replies {
+            if reply.to == self.cfg.me.name {
+                let me = reply.to;
+                self.on_leg_result(now, &me, reply.attempt, reply.result, out);
+            } else {
+                self.reply_leg(&reply.to, reply.attempt, reply.result);
+            }
+        }
+    }
+
+    fn reply_leg(&mut self, to: &Name, attempt: AttemptId, result: LegResult) {
+        let done = LegDone { attempt, result };
+        self.router.push(to, PeerMessage::LegsDone(vec![done]));
+    }
+
+    fn on_leg_result(
+        &mut self,
+        now: Instant,
+        from: &Name,
+        attempt: AttemptId,
+        result: LegResult,
+        out: &mut Vec<Action>,
+    ) {
+        match self.router.on_result(now, from, attempt, result) {
+            Routing::Drop(result) => self.stats.on_stray(now, attempt, &result),
+            Routing::Deliver(delivery) => self.deliveries.push(delivery),
+            Routing::Redirect { leg, origin, owner } => {
+                self.send_leg(now, leg, origin, &owner, true, out);
+            }
+        }
+    }
+
+    fn on_peer(&mut self, now: Instant, from: &Name, msg: PeerMessage, out: &mut Vec<Action>) {
+        match msg {
+            PeerMessage::Legs(batch) => {
+                let mut owner_out = OwnerOutput::default();
+                for leg in batch.into_legs() {
+                    if self.owners.owns(&leg.upstream) {
+                        self.owners.submit(now, leg, from.clone(), &mut owner_out);
+                    } else {
+                        self.refuse_not_owner(from, &leg);
+                    }
+                }
+                self.on_owner_output(now, owner_out, out);
+            }
+            PeerMessage::LegsDone(done) => {
+                for done in done {
+                    self.on_leg_result(now, from, done.attempt, done.result, out);
+                }
+            }
+            PeerMessage::CancelLegs(legs) => {
+                let mut owner_out = OwnerOutput::default();
+                for LegRef { attempt, upstream } in legs {
+                    self.owners.cancel(now, &upstream, attempt, &mut owner_out);
+                }
+                self.on_owner_output(now, owner_out, out);
+            }
+            PeerMessage::Handover { upstream, state } => {
+                let mut owner_out = OwnerOutput::default();
+                self.owners
+                    .on_handover(now, &upstream, state, &mut owner_out);
+                self.on_owner_output(now, owner_out, out);
+            }
+            PeerMessage::HandoverReleased { upstream, finished } => {
+                let mut owner_out = OwnerOutput::default();
+                self.owners
+                    .on_released(now, &upstream, finished, &mut owner_out);
+                self.on_owner_output(now, owner_out, out);
+            }
+            PeerMessage::UpstreamsLeaving(names) => self.on_upstreams_leaving(now, names, out),
+            PeerMessage::PullConfig { after } => {
+                let msg = self.sync.on_pull(after);
+                self.router.push(from, msg);
+            }
+            PeerMessage::Config(update) => self.on_config_update(now, from, update, out),
+            PeerMessage::Admission(msg) => {
+                let mut actions = Vec::new();
+                self.admission.on_message(now, from, &msg, &mut actions);
+                self.on_admission(actions);
+            }
+            PeerMessage::Quarantine(marks) => {
+                for mark in marks {
+                    self.stats
+                        .quarantine_mut()
+                        .add(now, mark.fingerprint, mark.ttl);
+                }
+            }
+        }
+    }
+
+    fn refuse_not_owner(&mut self, from: &Name, leg: &LegRequest) {
+        let owner = self
+            .placement
+            .owner(&leg.upstream)
+            .filter(|owner| **owner != self.cfg.me.name)
+            .cloned();
+        let done = LegDone {
+            attempt: leg.attempt,
+            result: LegResult::Refused(Refusal::NotOwner { owner }),
+        };
+        self.router.push(from, PeerMessage::LegsDone(vec![done]));
+    }
+
+    fn on_peer_down(&mut self, peer: &Name, unsent: &[PeerMessage]) {
+        let lost = self.router.on_owner_down(peer, unsent);
+        self.deliveries.extend(lost);
+        self.sync.on_peer_down(peer);
+    }
+
+    pub(crate) fn on_membership(
+        &mut self,
+        now: Instant,
+        actions: Vec<MembershipAction>,
+        out: &mut Vec<Action>,
+    ) {
+        let mut changed = false;
+        for action in actions {
+            match action {
+                MembershipAction::Send { to, buf } => out.push(Action::SendDatagram { to, buf }),
+                MembershipAction::Changed(member) => {
+                    changed = true;
+                    self.on_member_changed(&member, out);
+                }
+                MembershipAction::ZoneReachable { zone, reachable } => {
+                    log::warn!("event=zone_reachable zone={zone} reachable={reachable}");
+                    changed = true;
+                }
+                MembershipAction::PeerRevision { from, revision } => {
+                    if let Some((to, msg)) = self.sync.on_peer_revision(now, &from, revision) {
+                        self.router.push(&to, msg);
+                    }
+                }
+            }
+        }
+        if self.membership.is_confirmed() {
+            let mut owner_out = OwnerOutput::default();
+            self.owners.set_confirmed(now, true, &mut owner_out);
+            self.on_owner_output(now, owner_out, out);
+        }
+        if changed {
+            self.placement.set_members(&self.eligible_members());
+            self.refresh_owners(now, out);
+            self.refresh_hosts(now);
+        }
+    }
+
+    /// Members that may own upstreams. Those of a zone that cannot be reached
+    /// are left out, so that its upstreams get an owner that can be.
+    fn eligible_members(&self) -> Vec<Member> {
+        self.membership
+            .members()
+            .iter()
+            .filter(|member| {
+                member.zone == self.cfg.me.zone || self.membership.is_zone_reachable(&member.zone)
+            })
+            .cloned()
+            .collect()
+    }
+
+    fn on_member_changed(&mut self, member: &Member, out: &mut Vec<Action>) {
+        log::info!(
+            "event=member_changed member={} zone={} state={:?} incarnation={}",
+            member.name,
+            member.zone,
+            member.state,
+            member.incarnation
+        );
+        if member.state == MemberState::Dead && member.name != self.cfg.me.name {
+            out.push(Action::DisconnectPeer {
+                peer: member.name.clone(),
+            });
+            self.on_peer_down(&member.name, &[]);
+        }
+    }
+
+    fn on_admission(&mut self, actions: Vec<AdmissionAction>) {
+        for AdmissionAction::Send { to, msg } in actions {
+            self.router.push(&to, PeerMessage::Admission(msg));
+        }
+    }
+
+    fn share_quarantine(&mut self) {
+        let marks: Vec<crate::QuarantineMark> = self
+            .stats
+            .quarantine_mut()
+            .take_new()
+            .into_iter()
+            .map(|(fingerprint, ttl)| crate::QuarantineMark { fingerprint, ttl })
+            .collect();
+        if marks.is_empty() {
+            return;
+        }
+        log::warn!("event=request_quarantined count={}", marks.len());
+        let others: Vec<Name> = self
+            .membership
+            .members()
+            .iter()
+            .filter(|member| member.can_own() && member.name != self.cfg.me.name)
+            .map(|member| member.name.clone())
+            .collect();
+        for name in others {
+            self.router
+                .push(&name, PeerMessage::Quarantine(marks.clone()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/cornelwinch_host/src/owners.rs
@@ -0,0 +1,460 @@
+use std::time::{Duration, Instant};
+
+use cornelwinch_config::UpstreamSpec;
+use cornelwinch_limiter::{HandoverState, Limiter, LimiterAction, LimiterConfig, Start};
+use cornelwinch_types::{
+    AttemptId, LegRequest, LegResult, Name, Refusal, SortedMap, UpstreamSigns,
+};
+
+use crate::{Action, PeerMessage};
+
+/// Time for which a handover waits for this host to see itself as the owner.
+const HANDOVER_WAIT: Duration = Duration::from_secs(5);
+
+/// Time between health probes of a leaving upstream.
+const LEAVING_PROBE_PERIOD: Duration = Duration::from_secs(5);
+
+/// Limits that apply to every owned upstream.
+#[derive(Debug, Clone)]
+pub(crate) struct OwnerLimits {
+    pub(crate) guard: Duration,
+    pub(crate) settle: Duration,
+    pub(crate) queue: usize,
+}
+
+#[derive(Debug)]
+struct Owned {
+    limiter: Limiter,
+    spec: UpstreamSpec,
+    /// New owner, while legs of this host are still in flight.
+    successor: Option<Name>,
+    /// In-flight count that the successor was told last.
+    reported: usize,
+    next_probe: Option<Instant>,
+}
+
+/// Result of a leg for the host that submitted it.
+#[derive(Debug)]
+pub(crate) struct OwnerReply {
+    pub(crate) to: Name,
+    pub(crate) attempt: AttemptId,
+    pub(crate) result: LegResult,
+}
+
+/// What the owned upstreams ask for.
+#[derive(Debug, Default)]
+pub(crate) struct OwnerOutput {
+    pub(crate) replies: Vec<OwnerReply>,
+    pub(crate) messages: Vec<(Name, PeerMessage)>,
+    pub(crate) actions: Vec<Action>,
+}
+
+/// Upstreams that this host owns, or that it still has legs at.
+#[derive(Debug)]
+pub(crate) struct Owners {
+    limits: OwnerLimits,
+    owned: SortedMap<Name, Owned>,
+    arrived: SortedMap<Name, (HandoverState, Instant)>,
+    confirmed: bool,
+    scratch: Vec<LimiterAction>,
+}
+
+/// One line of the operators' status.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
+pub struct OwnedStatus {
+    /// Name of the upstream.
+    pub upstream: Name,
+    /// Legs allowed in flight.
+    pub limit: usize,
+    /// Legs in flight.
+    pub in_flight: usize,
+    /// Legs waiting.
+    pub queued: usize,
+    /// Whether the upstream is in a cold start.
+    pub cold: bool,
+    /// Whether the upstream takes no new work.
+    pub leaving: bool,
+}
+
+impl Owners {
+    pub(crate) fn new(limits: OwnerLimits) -> Self {
+        Self {
+            limits,
+            owned: SortedMap::new(),
+            arrived: SortedMap::new(),
+            confirmed: true,
+            scratch: Vec::new(),
+        }
+    }
+
+    /// Names of the upstreams that this host owns.
+    pub(crate) fn names(&self) -> impl Iterator<Item = &Name> {
+        self.owned
+            .iter()
+            .filter(|(_, owned)| owned.successor.is_none())
+            .map(|(name, _)| name)
+    }
+
+    /// Reports whether this host owns the upstream.
+    pub(crate) fn owns(&self, upstream: &str) -> bool {
+        self.owned
+            .get(upstream)
+            .is_some_and(|owned| owned.successor.is_none())
+    }
+
+    /// Legs waiting or in flight at all upstreams.
+    pub(crate) fn pending(&self) -> usize {
+        self.owned
+            .values()
+            .map(|owned| owned.limiter.in_flight() + owned.limiter.queued())
+            .sum()
+    }
+
+    /// Invariant violations counted by the limiters.
+    pub(crate) fn violations(&self) -> u64 {
+        self.owned
+            .values()
+            .map(|owned| owned.limiter.violations())
+            .sum()
+    }
+
+    /// Status lines by upstream name.
+    pub(crate) fn status(&self) -> Vec<OwnedStatus> {
+        self.owned
+            .iter()
+            .filter(|(_, owned)| owned.successor.is_none())
+            .map(|(name, owned)| OwnedStatus {
+                upstream: name.clone(),
+                limit: owned.limiter.limit(),
+                in_flight: owned.limiter.in_flight(),
+                queued: owned.limiter.queued(),
+                cold: owned.limiter.is_cold(),
+                leaving: owned.limiter.is_leaving(),
+            })
+            .collect()
+    }
+
+    /// Starts to own an upstream, or takes its changed settings.
+    pub(crate) fn acquire(
+        &mut self,
+        now: Instant,
+        upstream: &Name,
+        spec: &UpstreamSpec,
+        leaving: bool,
+        out: &mut OwnerOutput,
+    ) {
+        let start = match self.arrived.remove(upstream) {
+            Some((state, _)) => Start::Handover(state),
+            None => Start::Takeover,
+        };
+        let cfg = self.config(spec);
+        let confirmed = self.confirmed;
+        let opened = match self.owned.get_mut(upstream) {
+            Some(owned) => {
+                let same_limits = owned.spec.slots == spec.slots
+                    && owned.spec.cold_limit == spec.cold_limit
+                    && owned.spec.address == spec.address;
+                let returned = owned.successor.take().is_some();
+                owned.spec = spec.clone();
+                let start = if returned {
+                    start
+                } else {
+                    Start::Handover(owned.limiter.present_state())
+                };
+                if returned || !same_limits {
+                    self.with(upstream, now, out, |limiter, actions| {
+                        limiter.resume(now, cfg, start, actions);
+                    });
+                }
+                !same_limits
+            }
+            None => {
+                let owned = Owned {
+                    limiter: Limiter::open(now, cfg, start),
+                    spec: spec.clone(),
+                    successor: None,
+                    reported: 0,
+                    next_probe: None,
+                };
+                self.owned.insert(upstream.clone(), owned);
+                true
+            }
+        };
+        if opened {
+            out.actions.push(Action::OpenUpstream {
+                upstream: upstream.clone(),
+                spec: spec.clone(),
+            });
+        }
+        self.with(upstream, now, out, |limiter, actions| {
+            limiter.set_confirmed(now, confirmed, actions);
+            limiter.set_leaving(now, leaving, actions);
+        });
+    }
+
+    fn config(&self, spec: &UpstreamSpec) -> LimiterConfig {
+        LimiterConfig {
+            slots: spec.slots as usize,
+            cold_limit: spec.cold_limit as usize,
+            guard: self.limits.guard,
+            queue_limit: self.limits.queue,
+            settle: self.limits.settle,
+            ..LimiterConfig::default()
+        }
+    }
+
+    /// Stops owning an upstream and tells the new owner its state.
+    pub(crate) fn release(
+        &mut self,
+        now: Instant,
+        upstream: &Name,
+        successor: Option<&Name>,
+        out: &mut OwnerOutput,
+    ) {
+        if !self.owns(upstream) {
+            return;
+        }
+        let mut state = None;
+        self.with(upstream, now, out, |limiter, actions| {
+            state = Some(limiter.drain(now, actions));
+        });
+        if let (Some(successor), Some(state)) = (successor, state) {
+            let msg = PeerMessage::Handover {
+                upstream: upstream.clone(),
+                state,
+            };
+            out.messages.push((successor.clone(), msg));
+        }
+        if let Some(owned) = self.owned.get_mut(upstream) {
+            owned.reported = owned.limiter.in_flight();
+            owned.successor = Some(successor.cloned().unwrap_or_else(|| "".into()));
+        }
+        self.settle_released(upstream, out);
+    }
+
+    /// Reports finished legs of a released upstream and forgets it at the end.
+    fn settle_released(&mut self, upstream: &Name, out: &mut OwnerOutput) {
+        let Some(owned) = self.owned.get_mut(upstream) else {
+            return;
+        };
+        let Some(successor) = owned.successor.clone() else {
+            return;
+        };
+        let left = owned.limiter.in_flight();
+        let finished = owned.reported.saturating_sub(left);
+        if finished > 0 && !successor.is_empty() {
+            let msg = PeerMessage::HandoverReleased {
+                upstream: upstream.clone(),
+                finished: u32::try_from(finished).unwrap_or(u32::MAX),
+            };
+            out.messages.push((successor, msg));
+        }
+        owned.reported = left;
+        if left == 0 {
+            self.owned.remove(upstream);
+            out.actions.push(Action::CloseUpstream {
+                upstream: upstream.clone(),
+            });
+        }
+    }
+
+    /// Takes the state that the previous owner sends.
+    pub(crate) fn on_handover(
+        &mut self,
+        now: Instant,
+        upstream: &Name,
+        state: HandoverState,
+        out: &mut OwnerOutput,
+    ) {
+        let Some(owned) = self.owned.get_mut(upstream) else {
+            self.arrived
+                .insert(upstream.clone(), (state, now + HANDOVER_WAIT));
+            return;
+        };
+        if owned.successor.is_some() {
+            self.arrived
+                .insert(upstream.clone(), (state, now + HANDOVER_WAIT));
+            return;
+        }
+        self.with(upstream, now, out, |limiter, actions| {
+            limiter.on_handover(now, state, actions);
+        });
+    }
+
+    /// Counts legs of the previous owner that have finished.
+    pub(crate) fn on_released(
+        &mut self,
+        now: Instant,
+        upstream: &Name,
+        finished: u32,
+        out: &mut OwnerOutput,
+    ) {
+        if let Some((state, _)) = self.arrived.get_mut(upstream) {
+            state.in_flight = state.in_flight.saturating_sub(finished as usize);
+        }
+        if self.owns(upstream) {
+            self.with(upstream, now, out, |limiter, actions| {
+                limiter.on_handover_released(now, finished as usize, actions);
+            });
+        }
+    }
+
+    /// Submits a leg of this or another host.
+    pub(crate) fn submit(
+        &mut self,
+        now: Instant,
+        leg: LegRequest,
+        from: Name,
+        out: &mut OwnerOutput,
+    ) {
+        let upstream = leg.upstream.clone();
+        if !self.owns(&upstream) {
+            out.replies.push(OwnerReply {
+                to: from,
+                attempt: leg.attempt,
+                result: LegResult::Refused(Refusal::NotOwner { owner: None }),
+            });
+            return;
+        }
+        self.with(&upstream, now, out, |limiter, actions| {
+            limiter.submit(now, leg, from, actions);
+        });
+    }
+
+    /// Takes the end of an attempt at an upstream.
+    pub(crate) fn finish(
+        &mut self,
+        now: Instant,
+        upstream: &Name,
+        attempt: AttemptId,
+        result: LegResult,
+        signs: UpstreamSigns,
+        out: &mut OwnerOutput,
+    ) {
+        self.with(upstream, now, out, |limiter, actions| {
+            limiter.finish(now, attempt, result, signs, actions);
+        });
+        self.settle_released(upstream, out);
+    }
+
+    /// Cancels a leg.
+    pub(crate) fn cancel(
+        &mut self,
+        now: Instant,
+        upstream: &Name,
+        attempt: AttemptId,
+        out: &mut OwnerOutput,
+    ) {
+        self.with(upstream, now, out, |limiter, actions| {
+            limiter.cancel(now, attempt, actions);
+        });
+    }
+
+    /// Marks an upstream as leaving or as back in service.
+    pub(crate) fn set_leaving(
+        &mut self,
+        now: Instant,
+        upstream: &Name,
+        leaving: bool,
+        out: &mut OwnerOutput,
+    ) {
+        self.with(upstream, now, out, |limiter, actions| {
+            limiter.set_leaving(now, leaving, actions);
+        });
+    }
+
+    /// Holds all upstreams to the cold limit while ownership is unconfirmed.
+    pub(crate) fn set_confirmed(&mut self, now: Instant, confirmed: bool, out: &mut OwnerOutput) {
+        if self.confirmed == confirmed {
+            return;
+        }
+        self.confirmed = confirmed;
+        let names: Vec<Name> = self.owned.keys().cloned().collect();
+        for name in names {
+            self.with(&name, now, out, |limiter, actions| {
+                limiter.set_confirmed(now, confirmed, actions);
+            });
+        }
+    }
+
+    /// Earliest timer of all upstreams.
+    pub(crate) fn next_wake(&self) -> Option<Instant> {
+        let limiters = self
+            .owned
+            .values()
+            .filter_map(|owned| owned.limiter.next_wake());
+        let probes = self.owned.values().filter_map(|owned| owned.next_probe);
+        limiters.chain(probes).min()
+    }
+
+    /// Runs the timers that are due.
+    pub(crate) fn on_wake(&mut self, now: Instant, out: &mut OwnerOutput) {
+        self.arrived.retain(|_, (_, until)| *until > now);
+        let due: Vec<Name> = self
+            .owned
+            .iter()
+            .filter(|(_, owned)| owned.limiter.next_wake().is_some_and(|at| at <= now))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in due {
+            self.with(&name, now, out, |limiter, actions| {
+                limiter.on_wake(now, actions);
+            });
+            self.settle_released(&name, out);
+        }
+        self.probe_leaving(now, out);
+    }
+
+    fn probe_leaving(&mut self, now: Instant, out: &mut OwnerOutput) {
+        for (name, owned) in self.owned.iter_mut() {
+            if !owned.limiter.is_leaving() {
+                owned.next_probe = None;
+                continue;
+            }
+            let at = *owned.next_probe.get_or_insert(now + LEAVING_PROBE_PERIOD);
+            if at <= now {
+                owned.next_probe = Some(now + LEAVING_PROBE_PERIOD);
+                out.actions.push(Action::ProbeUpstream {
+                    upstream: name.clone(),
+                });
+            }
+        }
+    }
+
+    /// Runs a step of one limiter and passes its actions on.
+    fn with(
+        &mut self,
+        upstream: &Name,
+        now: Instant,
+        out: &mut OwnerOutput,
+        step: impl FnOnce(&mut Limiter, &mut Vec<LimiterAction>),
+    ) {
+        let Some(owned) = self.owned.get_mut(upstream) else {
+            return;
+        };
+        let mut actions = std::mem::take(&mut self.scratch);
+        step(&mut owned.limiter, &mut actions);
+        if owned.limiter.is_leaving() && owned.next_probe.is_none() {
+            owned.next_probe = Some(now + LEAVING_PROBE_PERIOD);
+        }
+        for action in actions.drain(..) {
+            match action {
+                LimiterAction::Send(leg) => out.actions.push(Action::SendUpstream(leg)),
+                LimiterAction::Reply {
+                    attempt,
+                    from,
+                    result,
+                } => out.replies.push(OwnerReply {
+                    to: from,
+                    attempt,
+                    result,
+                }),
+                LimiterAction::Cancel { attempt } => out.actions.push(Action::CancelUpstream {
+                    upstream: upstream.clone(),
+                    attempt,
+                }),
+            }
+        }
+        self.scratch = actions;
+    }
+}
--- /dev/null
+++ b/crates/cornelwinch_host/src/request.rs
@@ -0,0 +1,81 @@
+use std::time::Duration;
+
+use cornelwinch_admission as admission;
+use cornelwinch_gather::Answer;
+use cornelwinch_types::Name;
+use serde_json::Value;
+
+/// What a caller or an operator asks for.
+#[derive(Debug, Clone)]
+pub enum CallerRequest {
+    /// Run a query.
+    Query(QueryRequest),
+    /// Report the state of this host.
+    Status,
+}
+
+/// A query as the caller sent it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct QueryRequest {
+    /// Bearer token of the customer.
+    pub token: String,
+    /// Search to run.
+    pub search: Name,
+    /// Traffic class; the search's first if none is named.
+    pub class: Option<Name>,
+    /// Time until the answer must be there, if shorter than the class's.
+    pub deadline: Option<Duration>,
+    /// Request body.
+    pub body: Name,
+}
+
+/// Answer to a caller.
+#[derive(Debug, Clone)]
+pub enum CallerAnswer {
+    /// Result of a query.
+    Query(Answer),
+    /// The request was refused before anything ran.
+    Rejected(Rejection),
+    /// State of this host.
+    Status(Value),
+}
+
+/// Why a request was refused before anything ran.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Rejection {
+    /// No customer has this token.
+    UnknownCustomer,
+    /// The customer's plan does not allow the search.
+    SearchNotAllowed,
+    /// There is no such search.
+    UnknownSearch,
+    /// The search has no such class.
+    UnknownClass,
+    /// The customer is over its rate.
+    RateExceeded {
+        /// Time after which a request may be admitted.
+        retry_after: Duration,
+    },
+    /// The customer has too many requests in progress.
+    ConcurrencyExceeded,
+    /// The deadline had passed when the request arrived.
+    DeadlinePassed,
+    /// The host has no configuration yet.
+    NotReady,
+    /// The host holds too many requests.
+    Overloaded,
+}
+
+impl From<admission::Rejection> for Rejection {
+    fn from(rejection: admission::Rejection) -> Self {
+        match rejection {
+            admission::Rejection::UnknownCustomer => Self::UnknownCustomer,
+            admission::Rejection::SearchNotAllowed => Self::SearchNotAllowed,
+            admission::Rejection::UnknownClass => Self::UnknownClass,
+            admission::Rejection::RateExceeded { retry_after } => {
+                Self::RateExceeded { retry_after }
+            }
+            admission::Rejection::ConcurrencyExceeded => Self::ConcurrencyExceeded,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cornelwinch_lab/src/lib.rs
@@ -0,0 +1,13 @@
+//! Starts a whole deployment on loopback: stand-ins for the platform and the
+//! upstreams in this process, and each host as a process of its own.
+
+mod deployment;
+mod error;
+mod host;
+mod ports;
+mod shape;
+
+pub use deployment::Deployment;
+pub use error::LabError;
+pub use host::{HostProcess, HostProgram};
+pub use shape::{DeploymentShape, SearchShape, amman, tunis};
--- a/crates/cornelwinch_limiter/src/lib.rs
+++ b/crates/cornelwinch_limiter/src/lib.rs
@@ -3,6 +3,7 @@
 mod circuit;
 mod config;
 mod dispatch;
+mod handover;
 mod in_flight;
 mod limiter;
 mod queue;
--- a/crates/cornelwinch_limiter/src/limiter.rs
+++ b/crates/cornelwinch_limiter/src/limiter.rs
@@ -50,7 +50,7 @@
 /// ```
 #[derive(Debug)]
 pub struct Limiter {
-    cfg: LimiterConfig,
+    pub(crate) cfg: LimiterConfig,
     pub(crate) ramp: Ramp,
     pub(crate) circuit: Circuit,
     pub(crate) queue: Queue,
@@ -61,18 +61,18 @@
     pub(crate) last_answer: Instant,
     pub(crate) settle_until: Option<Instant>,
     /// End of the cold limit after a takeover.
-    guard_until: Option<Instant>,
+    pub(crate) guard_until: Option<Instant>,
     /// Legs of previous owners that may be in flight, and when they no longer
     /// can be.
-    inherited: usize,
-    inherited_until: Option<Instant>,
-    confirmed: bool,
-    marked_leaving: bool,
+    pub(crate) inherited: usize,
+    pub(crate) inherited_until: Option<Instant>,
+    pub(crate) confirmed: bool,
+    pub(crate) marked_leaving: bool,
     pub(crate) said_leaving: bool,
     drained: bool,
-    submitted: u64,
-    replied: u64,
-    violations: u64,
+    pub(crate) submitted: u64,
+    pub(crate) replied: u64,
+    pub(crate) violations: u64,
 }
 
 impl Limiter {
@@ -416,7 +416,7 @@
 
     /// Checks the invariants after each call: the slots bound the legs in
     /// flight, and each submitted leg is either held or was replied to once.
-    fn check(&mut self, now: Instant) {
+    pub(crate) fn check(&mut self, now: Instant) {
         let sent: usize = self.in_flight.iter().map(|leg| leg.waiters.len()).sum();
         let held = (sent + self.queue.legs()) as u64;
         let bounded = self.in_flight.len() <= self.cfg.slots;
--- a/crates/cornelwinch_peer/src/transport.rs
+++ b/crates/cornelwinch_peer/src/transport.rs
@@ -1,7 +1,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
 use cornelwinch_types::{Incarnation, Name};
@@ -15,6 +15,9 @@
 use crate::error::{BindSnafu, RuntimeSnafu};
 use crate::{PeerError, Secret, inbound, outbound};
 
+/// Longest time for which a closing transport sends what is queued.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Settings of the transport.
 #[derive(Debug, Clone)]
 pub struct PeerConfig {
@@ -82,6 +85,7 @@
 pub struct PeerTransport<M> {
     tx: UnboundedSender<Command<M>>,
     local_addr: SocketAddr,
+    thread: JoinHandle<()>,
 }
 
 impl<M> fmt::Debug for PeerTransport<M> {
@@ -103,6 +107,14 @@
         let _ = self.tx.send(Command::Send { to, addr, msg });
     }
 
+    /// Sends what is queued, for as long as a short time limit allows, and
+    /// closes all connections.
+    pub fn close(self) {
+        drop(self.tx);
+        // A panic of the thread has been reported by the panic hook.
+        let _ = self.thread.join();
+    }
+
     /// Closes the connection to a peer that has left.
     pub fn disconnect(&self, peer: Name) {
         let _ = self.tx.send(Command::Disconnect { peer });
@@ -133,14 +145,18 @@
         .context(RuntimeSnafu)?;
     let (tx, rx) = unbounded_channel();
     let handler: Handler<M> = Arc::new(handler);
-    thread::Builder::new()
+    let thread = thread::Builder::new()
         .name("peer".into())
         .spawn(move || {
             let local = LocalSet::new();
             local.block_on(&runtime, run(listener, Arc::new(cfg), rx, handler));
         })
         .context(RuntimeSnafu)?;
-    Ok(PeerTransport { tx, local_addr })
+    Ok(PeerTransport {
+        tx,
+        local_addr,
+        thread,
+    })
 }
 
 async fn run<M>(
@@ -169,12 +185,20 @@
             }
         }
     }
+    let senders: Vec<_> = links.into_iter().map(|Link { task, .. }| task).collect();
+    let flush = async {
+        for task in senders {
+            let _ = task.await;
+        }
+    };
+    let _ = tokio::time::timeout(FLUSH_TIMEOUT, flush).await;
 }
 
 struct Link<M> {
     peer: Name,
     addr: SocketAddr,
     tx: UnboundedSender<M>,
+    task: tokio::task::JoinHandle<()>,
 }
 
 /// Queues a message on the peer's connection, and opens a new one if there is
@@ -199,14 +223,19 @@
     };
     let (tx, rx) = unbounded_channel();
     let _ = tx.send(msg);
-    tokio::task::spawn_local(outbound::send_loop(
+    let task = tokio::task::spawn_local(outbound::send_loop(
         cfg.clone(),
         to.clone(),
         addr,
         rx,
         handler.clone(),
     ));
-    let link = Link { peer: to, addr, tx };
+    let link = Link {
+        peer: to,
+        addr,
+        tx,
+        task,
+    };
     match found {
         Ok(i) => links[i] = link,
         Err(i) => links.insert(i, link),
--- a/crates/cornelwinch_placement/src/placement.rs
+++ b/crates/cornelwinch_placement/src/placement.rs
@@ -52,6 +52,8 @@
     /// By name, with the positions of zone and group.
     sites: Vec<(UpstreamSite, u32, u32)>,
     zones: Vec<Zone>,
+    /// Hosts that may own, by zone.
+    hosts: Vec<(Name, PoolHost)>,
 }
 
 impl Placement {
@@ -74,6 +76,7 @@
             bound_percent,
             sites: Vec::new(),
             zones: Vec::new(),
+            hosts: Vec::new(),
         };
         placement.set_upstreams(upstreams);
         placement.set_members(members);
@@ -85,22 +88,30 @@
     /// Only zones whose eligible hosts changed are computed, with the ranking
     /// of the previous call. The result equals that of [`Placement::compute`].
     pub fn set_members(&mut self, members: &[Member]) {
-        let mut eligible: Vec<&Member> = members.iter().filter(|member| member.can_own()).collect();
-        eligible.sort_by(|a, b| a.zone.cmp(&b.zone));
+        self.hosts = members
+            .iter()
+            .filter(|member| member.can_own())
+            .map(|member| (member.zone.clone(), PoolHost::new(&member.name)))
+            .collect();
+        self.hosts.sort_unstable();
+        self.refresh_pools();
+    }
+
+    /// Gives each zone its own hosts, or all hosts if it has none, and assigns
+    /// the owners of zones whose hosts changed.
+    fn refresh_pools(&mut self) {
         let mut everywhere: Option<Vec<PoolHost>> = None;
         for zone in &mut self.zones {
-            let start = eligible.partition_point(|member| member.zone < zone.name);
-            let own = eligible[start..]
+            let start = self.hosts.partition_point(|(name, _)| *name < zone.name);
+            let mut pool: Vec<PoolHost> = self.hosts[start..]
                 .iter()
-                .take_while(|member| member.zone == zone.name);
-            let mut pool: Vec<PoolHost> = own.map(|member| PoolHost::new(&member.name)).collect();
-            pool.sort_unstable();
+                .take_while(|(name, _)| *name == zone.name)
+                .map(|(_, host)| host.clone())
+                .collect();
             if pool.is_empty() {
                 let all = everywhere.get_or_insert_with(|| {
-                    let mut all: Vec<PoolHost> = eligible
-                        .iter()
-                        .map(|member| PoolHost::new(&member.name))
-                        .collect();
+                    let mut all: Vec<PoolHost> =
+                        self.hosts.iter().map(|(_, host)| host.clone()).collect();
                     all.sort_unstable();
                     all
                 });
@@ -160,6 +171,7 @@
             zone.assign(self.bound_percent);
         }
         self.zones = zones;
+        self.refresh_pools();
         self.sites = upstreams.iter().map(|site| self.locate(site)).collect();
     }
 
--- a/crates/cornelwinch_types/src/lib.rs
+++ b/crates/cornelwinch_types/src/lib.rs
@@ -8,6 +8,7 @@
 mod outcome;
 mod range;
 mod snapshot;
+mod sorted_map;
 
 pub use fingerprint::Fingerprint;
 pub use id::{AttemptId, Incarnation, Name, QueryId, Revision, SnapshotId};
@@ -16,3 +17,4 @@
 pub use outcome::Outcome;
 pub use range::KeyRange;
 pub use snapshot::{Shard, Snapshot, SnapshotError};
+pub use sorted_map::SortedMap;
