Measure what shared legs save

Ruled out: joining legs that are already in flight (the caller would get an answer older than its request, and a cancelled execution could not be told apart). Change: the example `shared_legs` prints the part of the answered legs that did not need an execution of their own; the switch `share_identical` refers to it.

--- a/crates/cornelwinch_limiter/examples/shared_legs.rs
+++ b/crates/cornelwinch_limiter/examples/shared_legs.rs
@@ -144,16 +144,17 @@
 }
 
 fn main() {
-    println!("load share     sent answered overloaded  p50_us  p99_us");
+    println!("load share     sent answered overloaded shared_% p50_us p99_us");
     for load in [0.5, 0.8, 1.0, 1.5, 2.0] {
         for share in [false, true] {
             let totals = run(load, share);
             let at = |q: usize| totals.waits_us[totals.waits_us.len() * q / 100];
             println!(
-                "{load:4} {share:5} {:8} {:8} {:10} {:7} {:7}",
+                "{load:4} {share:5} {:8} {:8} {:10} {:8.1} {:6} {:6}",
                 totals.sent,
                 totals.answered,
                 totals.overloaded,
+                100.0 * totals.answered.saturating_sub(totals.sent) as f64 / totals.answered as f64,
                 at(50),
                 at(99),
             );
--- a/crates/cornelwinch_limiter/src/config.rs
+++ b/crates/cornelwinch_limiter/src/config.rs
@@ -19,7 +19,8 @@
     pub settle: Duration,
     /// Successful legs at the cold limit before the limit may grow.
     pub warm_after: usize,
-    /// Runs identical idempotent legs that wait in the queue once.
+    /// Runs identical idempotent legs that wait in the queue once. Off, each
+    /// leg runs by itself. The example `shared_legs` measures the difference.
     pub share_identical: bool,
 }
 
