--- a/crates/cornelwinch_limiter/src/config.rs
+++ b/crates/cornelwinch_limiter/src/config.rs
@@ -19,7 +19,8 @@
     pub settle: Duration,
     /// Successful legs at the cold limit before the limit may grow.
     pub warm_after: usize,
-    /// Runs identical idempotent legs that wait in the queue once.
+    /// Runs identical idempotent legs that wait in the queue once. Off, each
+    /// leg runs by itself. The example `shared_legs` measures the difference.
     pub share_identical: bool,
 }
 
@@ -42,7 +43,8 @@
 pub struct HandoverState {
     /// Legs that the previous owner allowed in flight.
     pub limit: usize,
-    /// False if the upstream was in a cold start.
+    /// False if the upstream was in a cold start or held to the cold limit;
+    /// the next owner then keeps the cold limit until its guard has passed.
     pub warm: bool,
     /// Legs that the previous owner, or the owners before it, still have in
     /// flight.
