Close servers owned by a handler without waiting for the relay itself

The relay could be the last to hold a closed listener's handler; when that handler owned other servers, the relay dropped them and waited 2 s for itself. Ruled out: load on the machine; the delays were multiples of the 2 s bound. Change: the relay lets go of the handler before the dropping thread goes on, and a server that is dropped in the relay's thread does not wait. Conclusion: a drop no longer depends on which thread ends last.

--- a/crates/cornelwinch_http/src/pool.rs
+++ b/crates/cornelwinch_http/src/pool.rs
@@ -3,7 +3,7 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::thread;
+use std::thread::{self, ThreadId};
 use std::time::Duration;
 
 use crossbeam_channel::{Receiver, Sender};
@@ -66,6 +66,7 @@
     closed: Arc<AtomicBool>,
     writer: Sender<WriterJob>,
     workers: usize,
+    relay: ThreadId,
 }
 
 impl HttpPool {
@@ -102,13 +103,14 @@
             })?;
         }
         let backends = Arc::new(Backends::new(backend_addr));
-        spawn_thread("http-relay", move || run_relay(command_rx, table, backends))?;
+        let relay = spawn_thread("http-relay", move || run_relay(command_rx, table, backends))?;
         Ok(Arc::new(Self {
             commands,
             tiny,
             closed,
             writer,
             workers,
+            relay,
         }))
     }
 
@@ -150,7 +152,7 @@
             state,
             stop: Some(stop),
             closed,
-            _pool: self.clone(),
+            pool: self.clone(),
         })
     }
 }
@@ -178,7 +180,7 @@
     state: Arc<ListenerState>,
     stop: Option<oneshot::Sender<()>>,
     closed: Receiver<()>,
-    _pool: Arc<HttpPool>,
+    pool: Arc<HttpPool>,
 }
 
 impl HttpServer {
@@ -202,9 +204,10 @@
     fn drop(&mut self) {
         drop(self.stop.take());
         // The port is free once the relay has dropped its end of the channel.
-        // A handler that drops its own server in the relay thread would wait
-        // for itself, hence the bound.
-        let _ = self.closed.recv_timeout(CLOSE_WAIT);
+        // The relay would wait for itself, in a hook that drops a server.
+        if thread::current().id() != self.pool.relay {
+            let _ = self.closed.recv_timeout(CLOSE_WAIT);
+        }
     }
 }
 
@@ -243,12 +246,12 @@
     HttpPool::open(limits.workers)?.bind(addr, limits, handler)
 }
 
-fn spawn_thread(name: &str, f: impl FnOnce() + Send + 'static) -> Result<(), HttpError> {
-    thread::Builder::new()
+fn spawn_thread(name: &str, f: impl FnOnce() + Send + 'static) -> Result<ThreadId, HttpError> {
+    let handle = thread::Builder::new()
         .name(name.to_owned())
         .spawn(f)
         .context(ThreadSnafu { name })?;
-    Ok(())
+    Ok(handle.thread().id())
 }
 
 fn serve_requests(
--- a/crates/cornelwinch_http/src/relay.rs
+++ b/crates/cornelwinch_http/src/relay.rs
@@ -158,6 +158,9 @@
     }
     callers.shutdown().await;
     drop(listener);
+    // Before the server goes on: the handler may own other servers, and the
+    // relay must not be the one to drop them, since a drop waits for the relay.
+    drop(state);
     drop(closing);
 }
 
