Count traffic between hosts and allow direct sending as a baseline

Cause: the cost of the hop through an owner and the control bytes of a host cannot be measured without a baseline and counters. Ruled out: a separate program for the baseline, which would differ in more than the routing. Change: the setting routing=direct, byte counters of datagrams and messages, and GET /v1/traffic for operators.

--- a/crates/cornelwinch_config/src/lib.rs
+++ b/crates/cornelwinch_config/src/lib.rs
@@ -12,6 +12,6 @@
     UpstreamSpec, ZoneSpec,
 };
 pub use kind::{Kind, UnknownKind};
-pub use settings::{LimitSettings, LogSettings, Settings, SettingsError};
+pub use settings::{LimitSettings, LogSettings, RoutingSetting, Settings, SettingsError};
 pub use state::{ConfigState, RejectedEntry};
 pub use validate::{ValidationError, check_spec, validate};
--- a/crates/cornelwinch_config/src/settings.rs
+++ b/crates/cornelwinch_config/src/settings.rs
@@ -17,7 +17,7 @@
 const DEFAULT_IDLE_MS: u64 = 60_000;
 const DEFAULT_QUEUE_PER_UPSTREAM: u64 = 256;
 
-const KEYS: [&str; 17] = [
+const KEYS: [&str; 18] = [
     "deployment",
     "host",
     "zone",
@@ -35,6 +35,7 @@
     "log",
     "metrics",
     "limits",
+    "routing",
 ];
 const LIMIT_KEYS: [&str; 4] = [
     "caller_connections",
@@ -102,6 +103,19 @@
     pub metrics: Option<SocketAddr>,
     /// Bounds on what the host holds at once.
     pub limits: LimitSettings,
+    /// How legs reach upstreams.
+    pub routing: RoutingSetting,
+}
+
+/// How legs reach upstreams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum RoutingSetting {
+    /// Through the host that owns the upstream.
+    #[default]
+    Owner,
+    /// From every host with an equal share of the slots, at least one; only
+    /// for measurements, because the shares exceed small numbers of slots.
+    Direct,
 }
 
 /// Where and what to log.
@@ -229,6 +243,12 @@
             queue_per_upstream: queue as usize,
         };
 
+        let routing = root.text("routing", ROUTING, |text| match text {
+            "owner" => Some(RoutingSetting::Owner),
+            "direct" => Some(RoutingSetting::Direct),
+            _ => None,
+        })?;
+
         Ok(Self {
             deployment,
             host,
@@ -247,6 +267,7 @@
             log,
             metrics,
             limits,
+            routing: routing.unwrap_or_default(),
         })
     }
 }
@@ -257,6 +278,7 @@
 const ANNOUNCED: &str = "an IP address that peers can reach and a port from 0 to 65535";
 const REMOTE: &str = "an IP address and a port from 1 to 65535";
 const HASH: &str = "a BLAKE3 hash of 64 hexadecimal digits";
+const ROUTING: &str = "owner or direct";
 const LEVEL: &str = "off, error, warn, info, debug or trace";
 
 fn name(reader: &Reader<'_, '_>, key: &str) -> Result<Name, SettingsError> {
--- a/crates/cornelwinch_daemon/src/actor.rs
+++ b/crates/cornelwinch_daemon/src/actor.rs
@@ -29,6 +29,8 @@
     },
     /// An operator asks for the histograms.
     Histograms(Responder),
+    /// An operator asks for the bytes exchanged with other hosts.
+    Traffic(Responder),
     /// A load balancer asks whether the host is ready.
     Ready(Responder),
 }
@@ -112,6 +114,18 @@
             ActorInput::Histograms(responder) => {
                 responder.json(200, self.adapters.metrics.to_json().to_string());
             }
+            ActorInput::Traffic(responder) => {
+                let gossip = self.adapters.gossip.traffic();
+                let peers = self.adapters.peers.as_ref().map(PeerTransport::traffic);
+                let peers = peers.unwrap_or_default();
+                let body = json!({
+                    "gossip_sent": gossip.sent,
+                    "gossip_received": gossip.received,
+                    "peer_sent": peers.sent,
+                    "peer_received": peers.received,
+                });
+                responder.json(200, body.to_string());
+            }
             ActorInput::Ready(responder) => {
                 let ready = self.host.is_ready();
                 let status = if ready { 200 } else { 503 };
--- a/crates/cornelwinch_daemon/src/daemon.rs
+++ b/crates/cornelwinch_daemon/src/daemon.rs
@@ -4,8 +4,8 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use cornelwinch_config::Settings;
-use cornelwinch_host::{CallerRequest, Host, HostConfig, Input};
+use cornelwinch_config::{RoutingSetting, Settings};
+use cornelwinch_host::{CallerRequest, Host, HostConfig, Input, Routing};
 use cornelwinch_http::{HttpLimits, HttpPool, HttpRequest, HttpServer};
 use cornelwinch_membership::{DatagramKey, MembershipConfig};
 use cornelwinch_peer::{PeerConfig, PeerEvent, Secret};
@@ -167,6 +167,10 @@
     let membership = MembershipConfig::new(key, settings.seeds.clone());
     HostConfig {
         me,
+        routing: match settings.routing {
+            RoutingSetting::Owner => Routing::Owner,
+            RoutingSetting::Direct => Routing::Direct,
+        },
         suspicion: membership.suspicion,
         membership,
         guard: GUARD,
@@ -294,6 +298,7 @@
             arrived: Instant::now(),
         },
         ("GET", "/v1/histograms") => ActorInput::Histograms(req.responder),
+        ("GET", "/v1/traffic") => ActorInput::Traffic(req.responder),
         _ => {
             req.responder.json(404, r#"{"error":"no such call"}"#);
             return;
--- a/crates/cornelwinch_host/src/configuration.rs
+++ b/crates/cornelwinch_host/src/configuration.rs
@@ -6,7 +6,7 @@
 
 use crate::owners::OwnerOutput;
 use crate::sync::Applied;
-use crate::{Action, ConfigUpdate, Host, PeerMessage, PlatformCall, PlatformEvent};
+use crate::{Action, ConfigUpdate, Host, PeerMessage, PlatformCall, PlatformEvent, Routing};
 
 /// Hosts of a zone that watch the platform. Each waiting watch counts as a
 /// call, so that not every host can have one.
@@ -239,29 +239,31 @@
         let lost: Vec<Name> = self
             .owners
             .names()
-            .filter(|name| released || self.placement.owner(name) != Some(me))
+            .filter(|name| released || self.owner_of(name).as_ref() != Some(me))
             .cloned()
             .collect();
         for name in lost {
-            let successor = self
-                .placement
-                .owner(&name)
-                .filter(|owner| *owner != me)
-                .cloned();
-            self.owners
-                .release(now, &name, successor.as_ref(), &mut owner_out);
+            let successor = self.placement.owner(&name).filter(|owner| *owner != me);
+            self.owners.release(now, &name, successor, &mut owner_out);
         }
         if !released {
             let state = &self.sync.state;
             for (name, owner) in self.placement.owners() {
-                if owner != Some(me) {
+                let direct = self.cfg.routing == Routing::Direct;
+                if owner != Some(me) && !direct {
                     continue;
                 }
                 if let Some(spec) = state.upstream(name) {
                     let leaving = state.is_upstream_out(name)
                         || self.leaving_upstreams.binary_search(name).is_ok();
+                    let mut spec = spec.clone();
+                    if direct {
+                        let hosts = self.membership.members().len().max(1) as u32;
+                        spec.slots = (spec.slots / hosts).max(1);
+                        spec.cold_limit = spec.cold_limit.min(spec.slots);
+                    }
                     self.owners
-                        .acquire(now, name, spec, leaving, &mut owner_out);
+                        .acquire(now, name, &spec, leaving, &mut owner_out);
                 }
             }
         }
--- a/crates/cornelwinch_host/src/host.rs
+++ b/crates/cornelwinch_host/src/host.rs
@@ -8,7 +8,7 @@
 
 use crate::owners::{OwnerLimits, OwnerOutput, Owners};
 use crate::queries::Queries;
-use crate::router::{Delivery, LegOrigin, LegRouter, Routing};
+use crate::router::{Delivery, LegOrigin, LegRouter, ResultRoute};
 use crate::shutdown::Draining;
 use crate::sync::ConfigSync;
 use crate::{Action, Input, LegDone, LegRef, PeerMessage};
@@ -17,6 +17,17 @@
 /// machine was paused.
 const TURN_PERIOD: Duration = Duration::from_millis(250);
 
+/// How legs reach an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Routing {
+    /// Through the one host that owns the upstream.
+    #[default]
+    Owner,
+    /// From every host with an equal share of the slots, at least one. It is
+    /// the baseline for measurements: the shares add up to more than the slots.
+    Direct,
+}
+
 /// Settings of a [`Host`].
 #[derive(Debug, Clone)]
 pub struct HostConfig {
@@ -24,6 +35,8 @@
     pub me: Member,
     /// Settings of the membership protocol.
     pub membership: MembershipConfig,
+    /// How legs reach an upstream.
+    pub routing: Routing,
     /// A gap between turns longer than this makes ownerships unconfirmed.
     pub suspicion: Duration,
     /// Time for which a new owner stays at the cold limit after a crash of the
@@ -256,6 +269,14 @@
         Some(members[i].peer)
     }
 
+    /// Host that sends the legs of an upstream.
+    pub(crate) fn owner_of(&self, upstream: &str) -> Option<Name> {
+        match self.cfg.routing {
+            Routing::Owner => self.placement.owner(upstream).cloned(),
+            Routing::Direct => Some(self.cfg.me.name.clone()),
+        }
+    }
+
     /// Sends a leg to the owner of its upstream.
     pub(crate) fn route_leg(
         &mut self,
@@ -264,7 +285,7 @@
         origin: LegOrigin,
         out: &mut Vec<Action>,
     ) {
-        match self.placement.owner(&leg.upstream).cloned() {
+        match self.owner_of(&leg.upstream) {
             Some(owner) => self.send_leg(now, leg, origin, &owner, false, out),
             None => self.deliveries.push(Delivery {
                 origin,
@@ -348,9 +369,9 @@
         out: &mut Vec<Action>,
     ) {
         match self.router.on_result(now, from, attempt, result) {
-            Routing::Drop(result) => self.stats.on_stray(now, attempt, &result),
-            Routing::Deliver(delivery) => self.deliveries.push(delivery),
-            Routing::Redirect { leg, origin, owner } => {
+            ResultRoute::Drop(result) => self.stats.on_stray(now, attempt, &result),
+            ResultRoute::Deliver(delivery) => self.deliveries.push(delivery),
+            ResultRoute::Redirect { leg, origin, owner } => {
                 self.send_leg(now, leg, origin, &owner, true, out);
             }
         }
--- a/crates/cornelwinch_host/src/lib.rs
+++ b/crates/cornelwinch_host/src/lib.rs
@@ -18,7 +18,7 @@
 mod sync;
 
 pub use action::{Action, PlatformCall, RequestLabel};
-pub use host::{Host, HostConfig};
+pub use host::{Host, HostConfig, Routing};
 pub use input::{Input, PlatformEvent};
 pub use message::{
     ConfigUpdate, LegBatch, LegDone, LegItem, LegRef, PeerMessage, QuarantineMark, RelaySpan,
--- a/crates/cornelwinch_host/src/router.rs
+++ b/crates/cornelwinch_host/src/router.rs
@@ -36,7 +36,7 @@
 
 /// What to do with a result that arrived.
 #[derive(Debug)]
-pub(crate) enum Routing {
+pub(crate) enum ResultRoute {
     /// The attempt is not outstanding: a late or repeated result.
     Drop(LegResult),
     /// Hand the result over.
@@ -136,13 +136,13 @@
         from: &Name,
         attempt: AttemptId,
         result: LegResult,
-    ) -> Routing {
+    ) -> ResultRoute {
         match self.routed.get(&attempt) {
             Some(routed) if routed.owner == *from => {}
-            _ => return Routing::Drop(result),
+            _ => return ResultRoute::Drop(result),
         }
         let Some(routed) = self.forget(attempt) else {
-            return Routing::Drop(result);
+            return ResultRoute::Drop(result);
         };
         if let LegResult::Refused(Refusal::NotOwner { owner: Some(owner) }) = &result
             && !routed.redirected
@@ -151,13 +151,13 @@
         {
             let mut leg = routed.leg;
             leg.budget = routed.deadline - now;
-            return Routing::Redirect {
+            return ResultRoute::Redirect {
                 leg,
                 origin: routed.origin,
                 owner: owner.clone(),
             };
         }
-        Routing::Deliver(Delivery {
+        ResultRoute::Deliver(Delivery {
             origin: routed.origin,
             attempt,
             result,
--- a/crates/cornelwinch_lab/src/deployment.rs
+++ b/crates/cornelwinch_lab/src/deployment.rs
@@ -307,6 +307,7 @@
             "operator_token_hash": blake3::hash(OPERATOR_TOKEN.as_bytes()).to_hex().as_str(),
             "drain_limit_ms": self.shape.drain_limit.as_millis() as u64,
             "balancer_delay_ms": self.shape.balancer_delay.as_millis() as u64,
+            "routing": if self.shape.direct { "direct" } else { "owner" },
             "log": { "level": "info", "file": format!("{name}.log") },
         });
         let path = self.dir.join(format!("{name}.jsonc"));
--- a/crates/cornelwinch_lab/src/shape.rs
+++ b/crates/cornelwinch_lab/src/shape.rs
@@ -50,6 +50,8 @@
     pub rate_per_s: f64,
     /// Requests in progress of each customer.
     pub concurrency: u32,
+    /// Sends legs directly from every host, as a baseline.
+    pub direct: bool,
     /// Seed of the stand-ins.
     pub seed: u64,
 }
@@ -69,6 +71,7 @@
             drain_limit: Duration::from_secs(10),
             rate_per_s: 100_000.0,
             concurrency: 100_000,
+            direct: false,
             seed: 1,
         }
     }
--- a/crates/cornelwinch_peer/src/inbound.rs
+++ b/crates/cornelwinch_peer/src/inbound.rs
@@ -1,5 +1,4 @@
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use cornelwinch_types::Name;
@@ -11,8 +10,8 @@
 use tokio_tungstenite::tungstenite::Message;
 
 use crate::error::SocketSnafu;
-use crate::transport::Handler;
-use crate::{PeerConfig, PeerError, PeerEvent, decode, handshake};
+use crate::transport::LinkContext;
+use crate::{PeerError, PeerEvent, decode, handshake};
 
 const UPGRADE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -22,13 +21,12 @@
 /// Accepts connections of peers until the runtime ends.
 pub(crate) async fn accept_loop<M: DeserializeOwned + 'static>(
     listener: TcpListener,
-    cfg: Arc<PeerConfig>,
-    handler: Handler<M>,
+    cx: LinkContext<M>,
 ) {
     loop {
         match listener.accept().await {
             Ok((stream, addr)) => {
-                tokio::task::spawn_local(serve(stream, addr, cfg.clone(), handler.clone()));
+                tokio::task::spawn_local(serve(stream, addr, cx.clone()));
             }
             Err(error) => {
                 log::warn!("event=peer_accept_failed error=\"{error}\"");
@@ -38,14 +36,9 @@
     }
 }
 
-async fn serve<M: DeserializeOwned>(
-    stream: TcpStream,
-    addr: SocketAddr,
-    cfg: Arc<PeerConfig>,
-    handler: Handler<M>,
-) {
+async fn serve<M: DeserializeOwned>(stream: TcpStream, addr: SocketAddr, cx: LinkContext<M>) {
     let mut peer: Option<Name> = None;
-    let error = receive(stream, &cfg, &handler, &mut peer).await;
+    let error = receive(stream, &cx, &mut peer).await;
     let name = peer.as_deref().unwrap_or("unknown");
     log::info!("event=peer_inbound_closed peer={name} addr={addr} {error}");
 }
@@ -53,11 +46,10 @@
 /// Reads messages until the connection fails; the result tells why.
 async fn receive<M: DeserializeOwned>(
     stream: TcpStream,
-    cfg: &PeerConfig,
-    handler: &Handler<M>,
+    cx: &LinkContext<M>,
     peer: &mut Option<Name>,
 ) -> PeerError {
-    match receive_all(stream, cfg, handler, peer).await {
+    match receive_all(stream, cx, peer).await {
         Ok(()) => PeerError::Closed { step: "receive" },
         Err(error) => error,
     }
@@ -65,8 +57,7 @@
 
 async fn receive_all<M: DeserializeOwned>(
     stream: TcpStream,
-    cfg: &PeerConfig,
-    handler: &Handler<M>,
+    cx: &LinkContext<M>,
     peer: &mut Option<Name>,
 ) -> Result<(), PeerError> {
     // A failure to turn off Nagle's algorithm only costs latency.
@@ -75,12 +66,13 @@
         .await
         .map_err(|_| PeerError::Timeout { step: "upgrade" })?
         .context(SocketSnafu { step: "upgrade" })?;
-    let name = handshake::accept(cfg, &mut socket).await?;
+    let name = handshake::accept(&cx.cfg, &mut socket).await?;
     *peer = Some(name.clone());
     while let Some(frame) = socket.next().await {
         if let Message::Binary(buf) = frame.context(SocketSnafu { step: "receive" })? {
+            cx.counts.add_received(buf.len());
             let msg = decode(&buf)?;
-            handler(PeerEvent::Message {
+            (cx.handler)(PeerEvent::Message {
                 from: name.clone(),
                 msg,
             });
--- a/crates/cornelwinch_peer/src/lib.rs
+++ b/crates/cornelwinch_peer/src/lib.rs
@@ -9,9 +9,11 @@
 mod inbound;
 mod outbound;
 mod secret;
+mod traffic;
 mod transport;
 
 pub use codec::{decode, encode};
 pub use error::PeerError;
 pub use secret::Secret;
+pub use traffic::{Traffic, TrafficCounts};
 pub use transport::{PeerConfig, PeerEvent, PeerTransport, bind};
--- a/crates/cornelwinch_peer/src/outbound.rs
+++ b/crates/cornelwinch_peer/src/outbound.rs
@@ -1,5 +1,4 @@
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use cornelwinch_types::Name;
 use futures_util::{SinkExt, StreamExt};
@@ -12,8 +11,8 @@
 
 use crate::error::SocketSnafu;
 use crate::handshake::{self, Socket};
-use crate::transport::Handler;
-use crate::{PeerConfig, PeerError, PeerEvent, encode};
+use crate::transport::LinkContext;
+use crate::{PeerConfig, PeerError, PeerEvent, TrafficCounts, encode};
 
 /// Most messages written before one flush.
 const FLUSH_BATCH: usize = 64;
@@ -21,14 +20,13 @@
 /// Sends queued messages to one peer until the connection fails or the queue
 /// is dropped, then reports the messages that were never written.
 pub(crate) async fn send_loop<M: Serialize>(
-    cfg: Arc<PeerConfig>,
+    cx: LinkContext<M>,
     peer: Name,
     addr: SocketAddr,
     mut rx: UnboundedReceiver<M>,
-    handler: Handler<M>,
 ) {
-    let result = match open(&cfg, &peer, addr).await {
-        Ok(mut socket) => write_all(&mut socket, &mut rx).await,
+    let result = match open(&cx.cfg, &peer, addr).await {
+        Ok(mut socket) => write_all(&mut socket, &mut rx, &cx.counts).await,
         Err(error) => Err(error),
     };
     rx.close();
@@ -40,7 +38,7 @@
         Ok(()) => log::debug!("event=peer_outbound_closed peer={peer} addr={addr}"),
         Err(error) => log::info!("event=peer_outbound_failed peer={peer} addr={addr} {error}"),
     }
-    handler(PeerEvent::Down { peer, unsent });
+    (cx.handler)(PeerEvent::Down { peer, unsent });
 }
 
 async fn open(cfg: &PeerConfig, peer: &Name, addr: SocketAddr) -> Result<Socket, PeerError> {
@@ -68,6 +66,7 @@
 async fn write_all<M: Serialize>(
     socket: &mut Socket,
     rx: &mut UnboundedReceiver<M>,
+    counts: &TrafficCounts,
 ) -> Result<(), PeerError> {
     loop {
         tokio::select! {
@@ -76,7 +75,7 @@
                     let _ = socket.close(None).await;
                     return Ok(());
                 };
-                write_batch(socket, msg, rx).await?;
+                write_batch(socket, msg, rx, counts).await?;
             }
             // The peer sends nothing here; reading shows when it closes.
             frame = socket.next() => match frame {
@@ -91,23 +90,25 @@
     socket: &mut Socket,
     first: M,
     rx: &mut UnboundedReceiver<M>,
+    counts: &TrafficCounts,
 ) -> Result<(), PeerError> {
-    let mut next = Some(first);
-    for _ in 0..FLUSH_BATCH {
-        let Some(msg) = next else { break };
-        let frame = Message::Binary(encode(&msg)?.into());
-        socket
-            .feed(frame)
-            .await
-            .context(SocketSnafu { step: "write" })?;
-        next = rx.try_recv().ok();
-    }
-    if let Some(msg) = next {
-        let frame = Message::Binary(encode(&msg)?.into());
-        socket
-            .feed(frame)
-            .await
-            .context(SocketSnafu { step: "write" })?;
+    feed(socket, &first, counts).await?;
+    for _ in 1..FLUSH_BATCH {
+        let Ok(msg) = rx.try_recv() else { break };
+        feed(socket, &msg, counts).await?;
     }
     socket.flush().await.context(SocketSnafu { step: "flush" })
 }
+
+async fn feed<M: Serialize>(
+    socket: &mut Socket,
+    msg: &M,
+    counts: &TrafficCounts,
+) -> Result<(), PeerError> {
+    let buf = encode(msg)?;
+    counts.add_sent(buf.len());
+    socket
+        .feed(Message::Binary(buf.into()))
+        .await
+        .context(SocketSnafu { step: "write" })
+}
--- a/crates/cornelwinch_peer/src/transport.rs
+++ b/crates/cornelwinch_peer/src/transport.rs
@@ -13,7 +13,7 @@
 use tokio::task::LocalSet;
 
 use crate::error::{BindSnafu, RuntimeSnafu};
-use crate::{PeerError, Secret, inbound, outbound};
+use crate::{PeerError, Secret, Traffic, TrafficCounts, inbound, outbound};
 
 /// Longest time for which a closing transport sends what is queued.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(500);
@@ -85,6 +85,7 @@
 pub struct PeerTransport<M> {
     tx: UnboundedSender<Command<M>>,
     local_addr: SocketAddr,
+    counts: Arc<TrafficCounts>,
     thread: JoinHandle<()>,
 }
 
@@ -102,6 +103,11 @@
         self.local_addr
     }
 
+    /// Bytes of messages since the start, without framing.
+    pub fn traffic(&self) -> Traffic {
+        self.counts.read()
+    }
+
     /// Queues a message; a failure is reported as [`PeerEvent::Down`].
     pub fn send(&self, to: Name, addr: SocketAddr, msg: M) {
         let _ = self.tx.send(Command::Send { to, addr, msg });
@@ -145,39 +151,61 @@
         .context(RuntimeSnafu)?;
     let (tx, rx) = unbounded_channel();
     let handler: Handler<M> = Arc::new(handler);
+    let counts = Arc::new(TrafficCounts::default());
+    let links = LinkContext {
+        cfg: Arc::new(cfg),
+        handler,
+        counts: counts.clone(),
+    };
     let thread = thread::Builder::new()
         .name("peer".into())
         .spawn(move || {
             let local = LocalSet::new();
-            local.block_on(&runtime, run(listener, Arc::new(cfg), rx, handler));
+            local.block_on(&runtime, run(listener, links, rx));
         })
         .context(RuntimeSnafu)?;
     Ok(PeerTransport {
         tx,
         local_addr,
+        counts,
         thread,
     })
 }
 
+/// What every connection needs.
+pub(crate) struct LinkContext<M> {
+    pub(crate) cfg: Arc<PeerConfig>,
+    pub(crate) handler: Handler<M>,
+    pub(crate) counts: Arc<TrafficCounts>,
+}
+
+impl<M> Clone for LinkContext<M> {
+    fn clone(&self) -> Self {
+        Self {
+            cfg: self.cfg.clone(),
+            handler: self.handler.clone(),
+            counts: self.counts.clone(),
+        }
+    }
+}
+
 async fn run<M>(
     listener: std::net::TcpListener,
-    cfg: Arc<PeerConfig>,
+    cx: LinkContext<M>,
     mut rx: UnboundedReceiver<Command<M>>,
-    handler: Handler<M>,
 ) where
     M: Serialize + DeserializeOwned + Send + 'static,
 {
     match TcpListener::from_std(listener) {
         Ok(listener) => {
-            let accept = inbound::accept_loop(listener, cfg.clone(), handler.clone());
-            tokio::task::spawn_local(accept);
+            tokio::task::spawn_local(inbound::accept_loop(listener, cx.clone()));
         }
         Err(error) => log::error!("event=peer_listen_failed error=\"{error}\""),
     }
     let mut links: Vec<Link<M>> = Vec::new();
     while let Some(command) = rx.recv().await {
         match command {
-            Command::Send { to, addr, msg } => queue(&mut links, &cfg, &handler, to, addr, msg),
+            Command::Send { to, addr, msg } => queue(&mut links, &cx, to, addr, msg),
             Command::Disconnect { peer } => {
                 if let Ok(i) = links.binary_search_by(|link| link.peer.cmp(&peer)) {
                     links.remove(i);
@@ -203,14 +231,8 @@
 
 /// Queues a message on the peer's connection, and opens a new one if there is
 /// none, if it has failed, or if the peer has another address now.
-fn queue<M>(
-    links: &mut Vec<Link<M>>,
-    cfg: &Arc<PeerConfig>,
-    handler: &Handler<M>,
-    to: Name,
-    addr: SocketAddr,
-    msg: M,
-) where
+fn queue<M>(links: &mut Vec<Link<M>>, cx: &LinkContext<M>, to: Name, addr: SocketAddr, msg: M)
+where
     M: Serialize + 'static,
 {
     let found = links.binary_search_by(|link| link.peer.cmp(&to));
@@ -223,13 +245,7 @@
     };
     let (tx, rx) = unbounded_channel();
     let _ = tx.send(msg);
-    let task = tokio::task::spawn_local(outbound::send_loop(
-        cfg.clone(),
-        to.clone(),
-        addr,
-        rx,
-        handler.clone(),
-    ));
+    let task = tokio::task::spawn_local(outbound::send_loop(cx.clone(), to.clone(), addr, rx));
     let link = Link {
         peer: to,
         addr,
