Run tickets through the host that issued them

Cause: a non-idempotent request had no path through the tier. Ruled out: running a ticket on the host that receives it (a resend through another host would run it twice). Change: Ticketing in the host state machine: issue, forward to the issuing incarnation, run over the replicas of the key's shard, answer resends with the first result.

--- a/crates/cornelwinch_daemon/src/actor.rs
+++ b/crates/cornelwinch_daemon/src/actor.rs
@@ -243,8 +243,13 @@
                 Outcome::NotRun => Some(RequestEnd::NotRun),
                 Outcome::Unknown => Some(RequestEnd::Unknown),
             },
+            CallerAnswer::Ticket { result, .. } => Some(match result.outcome {
+                Outcome::Done => RequestEnd::Answered { coverage: 1.0 },
+                Outcome::NotRun => RequestEnd::NotRun,
+                Outcome::Unknown => RequestEnd::Unknown,
+            }),
             CallerAnswer::Rejected(_) => Some(RequestEnd::NotRun),
-            CallerAnswer::Status(_) => None,
+            CallerAnswer::Tickets(_) | CallerAnswer::Status(_) => None,
         };
         if let Some(end) = end {
             let latency = waiting.arrived.elapsed().max(Duration::from_micros(1));
--- a/crates/cornelwinch_daemon/src/callers.rs
+++ b/crates/cornelwinch_daemon/src/callers.rs
@@ -1,11 +1,15 @@
 use std::time::Duration;
 
 use cornelwinch_gather::{Answer, AnswerReason};
-use cornelwinch_host::{CallerAnswer, CallerRequest, QueryRequest, Rejection};
+use cornelwinch_host::{CallerAnswer, CallerRequest, QueryRequest, Rejection, TicketRequest};
 use cornelwinch_http::{HttpRequest, Responder};
+use cornelwinch_tickets::{TicketId, TicketResult};
 use cornelwinch_types::{Hit, KeyRange, Name, Outcome, QueryId, SnapshotId};
 use serde::{Deserialize, Serialize};
 
+/// Most tickets issued by one request.
+const TICKETS_PER_REQUEST: u32 = 1_000;
+
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct QueryBody {
@@ -15,6 +19,23 @@
     body: Name,
 }
 
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TicketsBody {
+    count: u32,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RunBody {
+    ticket: String,
+    search: Name,
+    class: Option<Name>,
+    deadline_ms: Option<u64>,
+    key: u64,
+    body: Name,
+}
+
 /// Text of an error answer; every refusal says whether the request ran.
 #[derive(Debug, Serialize)]
 struct ErrorBody<'a> {
@@ -44,7 +65,8 @@
 
 /// Reads a request of a caller.
 pub(crate) fn parse(req: &HttpRequest) -> Result<CallerRequest, BadRequest> {
-    if (req.method.as_str(), req.path()) != ("POST", "/v1/query") {
+    let route = (req.method.as_str(), req.path());
+    if !matches!(route, ("POST", "/v1/query" | "/v1/tickets" | "/v1/run")) {
         return Err(BadRequest::new(404, "no such call"));
     }
     let token = req
@@ -56,14 +78,47 @@
             )
         })?
         .to_owned();
-    let body: QueryBody = parse_json(&req.body)?;
-    Ok(CallerRequest::Query(QueryRequest {
-        token,
-        search: body.search,
-        class: body.class,
-        deadline: body.deadline_ms.map(Duration::from_millis),
-        body: body.body,
-    }))
+    match route.1 {
+        "/v1/query" => {
+            let body: QueryBody = parse_json(&req.body)?;
+            Ok(CallerRequest::Query(QueryRequest {
+                token,
+                search: body.search,
+                class: body.class,
+                deadline: body.deadline_ms.map(Duration::from_millis),
+                body: body.body,
+            }))
+        }
+        "/v1/tickets" => {
+            let body: TicketsBody = parse_json(&req.body)?;
+            if body.count == 0 || body.count > TICKETS_PER_REQUEST {
+                let error = format!("count must be from 1 to {TICKETS_PER_REQUEST}");
+                return Err(BadRequest::new(400, error));
+            }
+            Ok(CallerRequest::IssueTickets {
+                token,
+                count: body.count,
+            })
+        }
+        _ => {
+            let body: RunBody = parse_json(&req.body)?;
+            let ticket: TicketId = body
+                .ticket
+                .parse()
+                .map_err(|_| BadRequest::new(400, "ticket is not one that a host issued"))?;
+            Ok(CallerRequest::RunTicket(TicketRequest {
+                ticket,
+                key: body.key,
+                query: QueryRequest {
+                    token,
+                    search: body.search,
+                    class: body.class,
+                    deadline: body.deadline_ms.map(Duration::from_millis),
+                    body: body.body,
+                },
+            }))
+        }
+    }
 }
 
 fn parse_json<'a, T: Deserialize<'a>>(text: &'a str) -> Result<T, BadRequest> {
@@ -87,10 +142,26 @@
     error: Option<&'static str>,
 }
 
+#[derive(Debug, Serialize)]
+struct TicketBody<'a> {
+    ticket: String,
+    outcome: Outcome,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    snapshot: Option<SnapshotId>,
+    hits: &'a [Hit],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    error: Option<String>,
+}
+
 /// Sends the answer to a caller.
 pub(crate) fn respond(responder: Responder, answer: &CallerAnswer) {
     match answer {
         CallerAnswer::Query(answer) => respond_query(responder, answer),
+        CallerAnswer::Tickets(tickets) => {
+            let tickets: Vec<String> = tickets.iter().map(ToString::to_string).collect();
+            responder.json(200, serde_json::json!({ "tickets": tickets }).to_string());
+        }
+        CallerAnswer::Ticket { ticket, result } => respond_ticket(responder, ticket, result),
         CallerAnswer::Rejected(rejection) => respond_rejection(responder, rejection),
         CallerAnswer::Status(status) => responder.json(200, status.to_string()),
     }
@@ -132,6 +203,23 @@
     }
 }
 
+fn respond_ticket(responder: Responder, ticket: &TicketId, result: &TicketResult) {
+    let answer = result.answer.as_ref();
+    let body = TicketBody {
+        ticket: ticket.to_string(),
+        outcome: result.outcome,
+        snapshot: answer.map(|answer| answer.snapshot),
+        hits: answer.map_or(&[], |answer| &answer.hits),
+        error: (!result.reason.is_empty()).then(|| result.reason.to_string()),
+    };
+    let status = match result.outcome {
+        Outcome::Done => 200,
+        Outcome::NotRun => 503,
+        Outcome::Unknown => 504,
+    };
+    respond_body(responder, status, &body);
+}
+
 fn respond_rejection(responder: Responder, rejection: &Rejection) {
     let (status, error) = match rejection {
         Rejection::UnknownCustomer => (401, "no customer has this token"),
--- a/crates/cornelwinch_host/src/configuration.rs
+++ b/crates/cornelwinch_host/src/configuration.rs
@@ -151,7 +151,7 @@
         self.on_owner_output(now, owner_out, out);
     }
 
-    fn is_upstream_leaving(&self, name: &Name) -> bool {
+    pub(crate) fn is_upstream_leaving(&self, name: &Name) -> bool {
         self.leaving_upstreams.binary_search(name).is_ok() || self.sync.state.is_upstream_out(name)
     }
 
--- a/crates/cornelwinch_host/src/host.rs
+++ b/crates/cornelwinch_host/src/host.rs
@@ -11,6 +11,7 @@
 use crate::router::{Delivery, LegOrigin, LegRouter, ResultRoute};
 use crate::shutdown::Draining;
 use crate::sync::ConfigSync;
+use crate::ticketing::Ticketing;
 use crate::{Action, Input, LegDone, LegRef, PeerMessage};
 
 /// Longest time between two turns. A longer gap means that the process or the
@@ -65,6 +66,7 @@
     pub(crate) admission: Admission,
     pub(crate) stats: GatherStats,
     pub(crate) queries: Queries,
+    pub(crate) ticketing: Ticketing,
     pub(crate) owners: Owners,
     pub(crate) router: LegRouter,
     pub(crate) leaving_upstreams: Vec<Name>,
@@ -113,6 +115,7 @@
             ),
             stats: GatherStats::new(GatherConfig::new(me.zone.clone()), rng.fork()),
             queries: Queries::new(cfg.queries),
+            ticketing: Ticketing::open(now, &me, rng.u64(..)),
             owners: Owners::new(limits),
             router: LegRouter::default(),
             leaving_upstreams: Vec::new(),
@@ -154,7 +157,7 @@
             Input::Caller { caller, request } => self.on_caller(now, caller, request, out),
             Input::CallerGone { caller } => self.on_caller_gone(now, caller, out),
             Input::Peer { from, msg } => self.on_peer(now, &from, msg, out),
-            Input::PeerDown { peer, unsent } => self.on_peer_down(&peer, &unsent),
+            Input::PeerDown { peer, unsent } => self.on_peer_down(now, &peer, &unsent, out),
             Input::Upstream {
                 upstream,
                 attempt,
@@ -190,6 +193,7 @@
         self.owners.on_wake(now, &mut owner_out);
         self.on_owner_output(now, owner_out, out);
         self.wake_queries(now, out);
+        self.wake_ticketing(now, out);
         let mut actions = Vec::new();
         self.admission.on_wake(now, &mut actions);
         self.on_admission(actions);
@@ -207,6 +211,7 @@
             self.membership.next_wake(),
             self.owners.next_wake(),
             self.queries.next_wake(),
+            self.ticketing.next_wake(),
             self.admission.next_wake(),
             self.sync.next_wake(),
             self.next_watch.filter(|_| !self.watching),
@@ -242,13 +247,16 @@
                 LegOrigin::Query(query) => {
                     self.deliver_to_query(now, query, delivery.attempt, delivery.result, out);
                 }
+                LegOrigin::Ticket(run) => {
+                    self.deliver_to_ticket(now, run, delivery.attempt, delivery.result, out);
+                }
             }
         }
         self.share_quarantine();
         for (to, msg) in self.router.take_outbox() {
             match self.peer_addr(&to) {
                 Some(addr) => out.push(Action::SendPeer { to, addr, msg }),
-                None => self.on_unroutable(&to, msg),
+                None => self.on_unroutable(now, &to, msg, out),
             }
         }
         if !self.deliveries.is_empty() {
@@ -257,8 +265,8 @@
     }
 
     /// A message for a host that is not in the member table never leaves.
-    fn on_unroutable(&mut self, to: &Name, msg: PeerMessage) {
-        self.on_peer_down(to, &[msg]);
+    fn on_unroutable(&mut self, now: Instant, to: &Name, msg: PeerMessage, out: &mut Vec<Action>) {
+        self.on_peer_down(now, to, &[msg], out);
     }
 
     fn peer_addr(&self, name: &Name) -> Option<std::net::SocketAddr> {
@@ -420,6 +428,10 @@
                 self.router.push(from, msg);
             }
             PeerMessage::Config(update) => self.on_config_update(now, from, update, out),
+            PeerMessage::RunTicket(run) => self.on_run_ticket(now, from, run, out),
+            PeerMessage::TicketDone { request, result } => {
+                self.on_ticket_done(now, from, request, result, out);
+            }
             PeerMessage::Admission(msg) => {
                 let mut actions = Vec::new();
                 self.admission.on_message(now, from, &msg, &mut actions);
@@ -448,10 +460,17 @@
         self.router.push(from, PeerMessage::LegsDone(vec![done]));
     }
 
-    fn on_peer_down(&mut self, peer: &Name, unsent: &[PeerMessage]) {
+    fn on_peer_down(
+        &mut self,
+        now: Instant,
+        peer: &Name,
+        unsent: &[PeerMessage],
+        out: &mut Vec<Action>,
+    ) {
         let lost = self.router.on_owner_down(peer, unsent);
         self.deliveries.extend(lost);
         self.sync.on_peer_down(peer);
+        self.on_ticket_host_down(now, peer, out);
     }
 
     pub(crate) fn on_membership(
@@ -466,7 +485,7 @@
                 MembershipAction::Send { to, buf } => out.push(Action::SendDatagram { to, buf }),
                 MembershipAction::Changed(member) => {
                     changed = true;
-                    self.on_member_changed(&member, out);
+                    self.on_member_changed(now, &member, out);
                 }
                 MembershipAction::ZoneReachable { zone, reachable } => {
                     log::warn!("event=zone_reachable zone={zone} reachable={reachable}");
@@ -504,7 +523,7 @@
             .collect()
     }
 
-    fn on_member_changed(&mut self, member: &Member, out: &mut Vec<Action>) {
+    fn on_member_changed(&mut self, now: Instant, member: &Member, out: &mut Vec<Action>) {
         log::info!(
             "event=member_changed member={} zone={} state={:?} incarnation={}",
             member.name,
@@ -516,7 +535,7 @@
             out.push(Action::DisconnectPeer {
                 peer: member.name.clone(),
             });
-            self.on_peer_down(&member.name, &[]);
+            self.on_peer_down(now, &member.name, &[], out);
         }
     }
 
--- a/crates/cornelwinch_host/src/lib.rs
+++ b/crates/cornelwinch_host/src/lib.rs
@@ -16,13 +16,15 @@
 mod shutdown;
 mod status;
 mod sync;
+mod ticketing;
 
 pub use action::{Action, PlatformCall, RequestLabel};
 pub use host::{Host, HostConfig, Routing};
 pub use input::{Input, PlatformEvent};
 pub use message::{
     ConfigUpdate, LegBatch, LegDone, LegItem, LegRef, PeerMessage, QuarantineMark, RelaySpan,
+    RunTicket,
 };
 pub use owners::OwnedStatus;
-pub use request::{CallerAnswer, CallerRequest, QueryRequest, Rejection};
+pub use request::{CallerAnswer, CallerRequest, QueryRequest, Rejection, TicketRequest};
 pub use status::HostStatus;
--- a/crates/cornelwinch_host/src/message.rs
+++ b/crates/cornelwinch_host/src/message.rs
@@ -3,6 +3,7 @@
 use cornelwinch_admission::AdmissionMsg;
 use cornelwinch_config::Entry;
 use cornelwinch_limiter::HandoverState;
+use cornelwinch_tickets::{TicketId, TicketResult};
 use cornelwinch_types::{
     AttemptId, Fingerprint, KeyRange, LegRequest, LegResult, Name, QueryId, Revision, SnapshotId,
 };
@@ -40,6 +41,15 @@
     },
     /// Configuration entries.
     Config(ConfigUpdate),
+    /// Runs a ticket on the host that issued it.
+    RunTicket(RunTicket),
+    /// Result of a forwarded ticket.
+    TicketDone {
+        /// Number of the request at the forwarding host.
+        request: u64,
+        /// Result.
+        result: TicketResult,
+    },
     /// Shares of customers' rates.
     Admission(AdmissionMsg),
     /// Requests that crash upstreams.
@@ -189,6 +199,29 @@
     pub last: Name,
 }
 
+/// A ticket's request, sent to the host that issued the ticket.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunTicket {
+    /// Number of the request at the forwarding host.
+    pub request: u64,
+    /// The ticket.
+    pub ticket: TicketId,
+    /// Customer on whose behalf the request runs.
+    pub customer: Name,
+    /// Search to run it on.
+    pub search: Name,
+    /// Traffic class.
+    pub class: Name,
+    /// Key that selects the shard.
+    pub key: u64,
+    /// Request body.
+    pub body: Name,
+    /// Priority, 0 is served first.
+    pub priority: u8,
+    /// Time left until the deadline.
+    pub budget: Duration,
+}
+
 /// A request that crashes upstreams.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineMark {
--- a/crates/cornelwinch_host/src/queries.rs
+++ b/crates/cornelwinch_host/src/queries.rs
@@ -63,6 +63,10 @@
     ) {
         let rejection = match request {
             CallerRequest::Query(query) => self.start_query(now, caller, query, out).err(),
+            CallerRequest::IssueTickets { token, count } => {
+                self.issue_tickets(now, caller, &token, count, out).err()
+            }
+            CallerRequest::RunTicket(run) => self.accept_ticket(now, caller, run, out).err(),
             CallerRequest::Status => {
                 let label = RequestLabel::none();
                 let answer = CallerAnswer::Status(self.status().to_json());
--- a/crates/cornelwinch_host/src/request.rs
+++ b/crates/cornelwinch_host/src/request.rs
@@ -2,6 +2,7 @@
 
 use cornelwinch_admission as admission;
 use cornelwinch_gather::Answer;
+use cornelwinch_tickets::{TicketId, TicketResult};
 use cornelwinch_types::Name;
 use serde_json::Value;
 
@@ -10,6 +11,15 @@
 pub enum CallerRequest {
     /// Run a query.
     Query(QueryRequest),
+    /// Issue tickets for non-idempotent requests.
+    IssueTickets {
+        /// Bearer token of the customer.
+        token: String,
+        /// Number of tickets.
+        count: u32,
+    },
+    /// Run the request of a ticket.
+    RunTicket(TicketRequest),
     /// Report the state of this host.
     Status,
 }
@@ -29,11 +39,31 @@
     pub body: Name,
 }
 
+/// A non-idempotent request as the caller sent it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TicketRequest {
+    /// The ticket.
+    pub ticket: TicketId,
+    /// Key that selects the shard.
+    pub key: u64,
+    /// The rest of the request.
+    pub query: QueryRequest,
+}
+
 /// Answer to a caller.
 #[derive(Debug, Clone)]
 pub enum CallerAnswer {
     /// Result of a query.
     Query(Answer),
+    /// Tickets issued.
+    Tickets(Vec<TicketId>),
+    /// Result of a ticket's request.
+    Ticket {
+        /// The ticket.
+        ticket: TicketId,
+        /// Result.
+        result: TicketResult,
+    },
     /// The request was refused before anything ran.
     Rejected(Rejection),
     /// State of this host.
--- a/crates/cornelwinch_host/src/ticketing.rs
+++ b/crates/cornelwinch_host/src/ticketing.rs
@@ -1,10 +1,10 @@
 use std::time::{Duration, Instant};
 
 use cornelwinch_tickets::{
-    Begin, TicketId, TicketReason, TicketResult, TicketRun, TicketRunAction, TicketRunSpec, Tickets,
+    Begin, TicketAction, TicketConfig, TicketId, TicketResult, TicketRun, TicketRunSpec, Tickets,
 };
 use cornelwinch_types::{
-    AttemptId, Fingerprint, KeyRange, LegRequest, LegResult, MemberState, Name, Outcome, QueryId,
+    AttemptId, Fingerprint, KeyRange, LegRequest, LegResult, Member, MemberState, Name, QueryId,
     SnapshotId, SortedMap,
 };
 
@@ -14,17 +14,17 @@
     Action, CallerAnswer, Host, PeerMessage, Rejection, RequestLabel, RunTicket, TicketRequest,
 };
 
+/// Tickets held by one host process.
+const TICKET_CAPACITY: usize = 200_000;
+
+/// Time for which an unused ticket and the result of a used one are kept.
+const TICKET_RETENTION: Duration = Duration::from_secs(15 * 60);
+
 /// Who waits for the result of a ticket.
 #[derive(Debug)]
 enum Waiter {
-    Caller {
-        caller: u64,
-        label: RequestLabel,
-    },
-    Forwarder {
-        host: Name,
-        request: u64,
-    },
+    Caller { caller: u64, label: RequestLabel },
+    Forwarder { host: Name, request: u64 },
 }
 
 /// A ticket's request that another host runs.
@@ -55,9 +55,15 @@
 }
 
 impl Ticketing {
-    pub(crate) fn new(tickets: Tickets, first_attempt: u64) -> Self {
+    /// Starts without tickets; `first_attempt` is random, so that attempts of
+    /// different processes differ.
+    pub(crate) fn open(now: Instant, me: &Member, first_attempt: u64) -> Self {
+        let cfg = TicketConfig {
+            capacity: TICKET_CAPACITY,
+            retention: TICKET_RETENTION,
+        };
         Self {
-            tickets,
+            tickets: Tickets::open(now, me.name.clone(), me.incarnation, cfg),
             running: SortedMap::new(),
             waiters: SortedMap::new(),
             forwarded: SortedMap::new(),
@@ -72,7 +78,10 @@
     }
 
     pub(crate) fn next_wake(&self) -> Option<Instant> {
-        let runs = self.running.values().filter_map(|running| running.run.next_wake());
+        let runs = self
+            .running
+            .values()
+            .filter_map(|running| running.run.next_wake());
         let forwarded = self.forwarded.values().map(|forwarded| forwarded.deadline);
         runs.chain(forwarded).chain(self.tickets.next_wake()).min()
     }
@@ -104,9 +113,11 @@
         count: u32,
         out: &mut Vec<Action>,
     ) -> Result<(), (RequestLabel, Rejection)> {
-        let Some(customer) = self.admission.customer_of(token) else {
+        let token = blake3::hash(token.as_bytes());
+        let Some((customer, _)) = self.sync.state.customer_by_token_hash(&token) else {
             return Err((RequestLabel::none(), Rejection::UnknownCustomer));
         };
+        let customer = customer.clone();
         let label = RequestLabel {
             class: "".into(),
             customer,
@@ -231,13 +242,10 @@
     ) {
         let number = self.ticketing.next_number();
         let fingerprint = ticket_fingerprint(&work);
-        let begun = self.ticketing.tickets.begin(
-            now,
-            &work.ticket,
-            fingerprint,
-            number,
-            work.deadline,
-        );
+        let begun =
+            self.ticketing
+                .tickets
+                .begin(now, &work.ticket, fingerprint, number, work.deadline);
         let result = match begun {
             Begin::Start => {
                 self.ticketing.waiters.insert(number, waiter);
@@ -250,8 +258,8 @@
             }
             Begin::Finished(result) => result,
             Begin::Elsewhere(_) | Begin::Unknown => host_gone(),
-            Begin::Conflict => not_run(TicketReason::OtherRequest),
-            Begin::Expired => not_run(TicketReason::Expired),
+            Begin::Conflict => TicketResult::not_run("other_request"),
+            Begin::Expired => TicketResult::not_run("expired"),
         };
         self.answer_waiter(now, waiter, &work.ticket, result, out);
     }
@@ -324,14 +332,7 @@
             return;
         };
         let mut actions = Vec::new();
-        let next_attempt = &mut self.ticketing.next_attempt;
-        running.run.on_leg(
-            now,
-            attempt,
-            result,
-            || attempt_after(next_attempt),
-            &mut actions,
-        );
+        running.run.on_leg(now, attempt, result, &mut actions);
         self.on_run_actions(now, number, actions, out);
     }
 
@@ -349,10 +350,7 @@
                 continue;
             };
             let mut actions = Vec::new();
-            let next_attempt = &mut self.ticketing.next_attempt;
-            running
-                .run
-                .on_wake(now, || attempt_after(next_attempt), &mut actions);
+            running.run.on_wake(now, &mut actions);
             self.on_run_actions(now, number, actions, out);
         }
         let late: Vec<u64> = self
@@ -364,7 +362,12 @@
             .collect();
         for request in late {
             if let Some(forwarded) = self.ticketing.forwarded.remove(&request) {
-                self.answer_forwarded(now, forwarded, unknown(TicketReason::DeadlinePassed), out);
+                self.answer_forwarded(
+                    now,
+                    forwarded,
+                    TicketResult::unknown("deadline_passed"),
+                    out,
+                );
             }
         }
     }
@@ -373,15 +376,15 @@
         &mut self,
         now: Instant,
         number: u64,
-        actions: Vec<TicketRunAction>,
+        actions: Vec<TicketAction>,
         out: &mut Vec<Action>,
     ) {
         for action in actions {
             match action {
-                TicketRunAction::Send(leg) => {
+                TicketAction::Send(leg) => {
                     self.route_leg(now, leg, LegOrigin::Ticket(number), out);
                 }
-                TicketRunAction::Finish(result) => {
+                TicketAction::Finish(result) => {
                     let Some(running) = self.ticketing.running.remove(&number) else {
                         continue;
                     };
@@ -490,21 +493,5 @@
 }
 
 fn host_gone() -> TicketResult {
-    unknown(TicketReason::HostGone)
-}
-
-fn unknown(reason: TicketReason) -> TicketResult {
-    TicketResult {
-        outcome: Outcome::Unknown,
-        answer: None,
-        reason: Some(reason),
-    }
-}
-
-fn not_run(reason: TicketReason) -> TicketResult {
-    TicketResult {
-        outcome: Outcome::NotRun,
-        answer: None,
-        reason: Some(reason),
-    }
+    TicketResult::unknown("ticket_host_gone")
 }
--- a/examples/quickstart.rs
+++ b/examples/quickstart.rs
@@ -51,6 +51,30 @@
     {
         print_query(&agent, host, body)?;
     }
+    run_ticket(&agent, &deployment.hosts)
+}
+
+/// Sends one non-idempotent request twice, the second time through another
+/// host; it runs once.
+fn run_ticket(agent: &ureq::Agent, hosts: &[HostProcess]) -> Result<(), Box<dyn Error>> {
+    let issued = call(agent, &hosts[0], "tickets", "stock", &json!({ "count": 1 }))?;
+    let request = json!({
+        "ticket": issued["tickets"][0],
+        "search": "stock",
+        "key": 42,
+        "body": "1 pallet",
+    });
+    for host in &hosts[..2] {
+        let result = call(agent, host, "run", "stock", &request)?;
+        println!(
+            "host={} ticket={} outcome={} hits={} error={}",
+            host.name(),
+            result["ticket"],
+            result["outcome"],
+            result["hits"].as_array().map_or(0, Vec::len),
+            result["error"],
+        );
+    }
     Ok(())
 }
 
