--- a/crates/cornelwinch_http/src/backend.rs
+++ b/crates/cornelwinch_http/src/backend.rs
@@ -1,6 +1,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -8,9 +9,12 @@
 
 use crate::head::{AnswerHead, EXCHANGE_FIELD, parse_answer};
 
-/// Loopback connections kept open without a request; each holds a thread of
-/// `tiny_http`, which ends soon after its connection closes.
-const IDLE_BACKENDS: usize = 64;
+/// Loopback connections kept open without a request. Opening one takes turns
+/// and a round trip, so the number covers usual peaks of requests in progress.
+const IDLE_BACKENDS: usize = 256;
+/// Time after which an unused connection is closed; each holds a thread of
+/// `tiny_http`, which ends soon after it.
+const IDLE_TIME: Duration = Duration::from_secs(10);
 
 /// Value of the exchange field in the request that tests a new connection.
 pub(crate) const PROBE: &str = "probe";
@@ -18,7 +22,8 @@
 /// Loopback connections to `tiny_http`, one for each request in progress.
 pub(crate) struct Backends {
     addr: SocketAddr,
-    idle: Mutex<Vec<TcpStream>>,
+    /// Unused connections with the time of their last use, oldest first.
+    idle: Mutex<Vec<(Instant, TcpStream)>>,
     /// A permit for each idle connection.
     available: Semaphore,
     opening: tokio::sync::Mutex<()>,
@@ -50,8 +55,10 @@
             biased;
             Ok(permit) = self.available.acquire() => {
                 permit.forget();
-                let stream = self.idle.lock().unwrap_or_else(PoisonError::into_inner).pop();
-                return stream.ok_or_else(|| io::ErrorKind::NotConnected.into());
+                let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner).pop();
+                return idle
+                    .map(|(_, stream)| stream)
+                    .ok_or_else(|| io::ErrorKind::NotConnected.into());
             }
             opening = self.opening.lock() => opening,
         };
@@ -63,12 +70,18 @@
         Ok(stream)
     }
 
-    /// Puts a connection back after a whole answer.
+    /// Puts a connection back after a whole answer, and closes one that is not
+    /// needed.
     pub(crate) fn put(&self, stream: TcpStream) {
+        let now = Instant::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        if idle.len() < IDLE_BACKENDS {
-            idle.push(stream);
-            self.available.add_permits(1);
+        idle.push((now, stream));
+        self.available.add_permits(1);
+        let is_surplus = idle.len() > IDLE_BACKENDS || now - idle[0].0 > IDLE_TIME;
+        // Without a free permit the connection belongs to a waiting request.
+        if is_surplus && let Ok(permit) = self.available.try_acquire() {
+            permit.forget();
+            idle.remove(0);
         }
     }
 }
