--- a/crates/cornelwinch_http/src/pool.rs
+++ b/crates/cornelwinch_http/src/pool.rs
@@ -332,7 +332,7 @@
             body,
             headers,
         } = *answer;
-        let mut response = tiny_http::Response::from_string(body)
+        let mut response = tiny_http::Response::from_data(body)
             .with_status_code(status)
             // The relay frames answers by their length.
             .with_chunked_threshold(usize::MAX);
--- a/crates/cornelwinch_standins/src/upstream/config.rs
+++ b/crates/cornelwinch_standins/src/upstream/config.rs
@@ -23,7 +23,7 @@
     pub service: ServiceTime,
     /// Behaviour in a cold start.
     pub cold: ColdStart,
-    /// Seed of all random numbers.
+    /// Seed of the service times.
     pub seed: u64,
 }
 
--- a/crates/cornelwinch_standins/src/upstream/state.rs
+++ b/crates/cornelwinch_standins/src/upstream/state.rs
@@ -86,10 +86,10 @@
 
 impl UpstreamState {
     pub(super) fn new(cfg: UpstreamConfig) -> Self {
-        let mut rng = Rng::with_seed(cfg.seed);
+        let rng = Rng::with_seed(cfg.seed);
         let counters = UpstreamCounters {
             name: cfg.name.to_string(),
-            restart: rng.u64(1..1 << 48),
+            restart: restart_id(),
             ..UpstreamCounters::default()
         };
         let cold_left = if cfg.cold.from_start {
@@ -363,7 +363,7 @@
     /// Starts a new cold run; the legs in progress are returned, to be dropped
     /// after their connections.
     pub(super) fn restart(&mut self) -> Vec<RunningLeg> {
-        self.counters.restart = self.rng.u64(1..1 << 48);
+        self.counters.restart = restart_id();
         self.counters.lost += self.running.len() as u64;
         self.cold_left = self.cfg.cold.legs;
         self.fallen_until = None;
@@ -444,6 +444,12 @@
     }
 }
 
+/// Identifier of a run. It does not come from the seed, since a process that is
+/// started again with the same settings has to have a new one.
+fn restart_id() -> u64 {
+    fastrand::u64(1..1 << 48)
+}
+
 /// Uses up one of a number of planned faults.
 fn take(left: &mut u32) -> bool {
     let any = *left > 0;
--- a/crates/cornelwinch_standins/tests/leg_faults.rs
+++ b/crates/cornelwinch_standins/tests/leg_faults.rs
@@ -97,6 +97,9 @@
     upstream.apply(UpstreamFault::Restart);
     assert!(upstream.counters().cold);
     assert_ne!(upstream.counters().restart, restart);
+    // Guards against a restart that cannot be seen because the seed is the same.
+    let again = spawn(upstream_config(Duration::ZERO)).unwrap();
+    assert_ne!(again.counters().restart, restart);
 }
 
 #[test]
