--- a/crates/cornelwinch_admission/src/account.rs
+++ b/crates/cornelwinch_admission/src/account.rs
@@ -11,9 +11,18 @@
 
 /// Part of its own share that a host does not lend, so that a customer that
 /// moves to it is not refused at once.
-const RESERVE: f64 = 0.05;
+const RESERVE: f64 = 0.01;
 /// Tokens below which a host that is running out asks for more.
 const LOW_TOKENS: f64 = 1.0;
+/// Tokens that a host with traffic tries to have: enough for requests that
+/// arrive close together, and few, because other hosts could use them.
+const TARGET_TOKENS: f64 = 2.0;
+/// Time in which a host tries to reach the target.
+const CORRECTION: Duration = Duration::from_millis(250);
+/// Largest wanted rate over the estimated one.
+const HEADROOM: f64 = 1.3;
+/// Estimated rate below which a host is idle; the estimate never reaches zero.
+const IDLE_RATE: f64 = 1e-3;
 
 /// A plan's limits, as an account uses them.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -113,7 +122,17 @@
     /// What this host itself wants to use.
     pub(crate) fn wanted(&mut self, now: Instant, resource: Resource) -> f64 {
         match resource {
-            Resource::Rate => self.demand.wanted_rate(now).min(self.limits.size.rate),
+            Resource::Rate => {
+                let rate = self.demand.rate(now);
+                let target = TARGET_TOKENS.min(self.limits.size.burst / 2.0);
+                let correction = (target - self.bucket.tokens()) / CORRECTION.as_secs_f64();
+                let wanted = (rate + correction).clamp(0.0, HEADROOM * rate);
+                if rate < IDLE_RATE {
+                    0.0
+                } else {
+                    wanted.min(self.limits.size.rate)
+                }
+            }
             Resource::Slots => self
                 .demand
                 .wanted_slots(now)
@@ -124,9 +143,11 @@
     /// What this host does not lend.
     pub(crate) fn kept(&mut self, now: Instant, resource: Resource) -> f64 {
         let reserve = whole(resource, self.ledger(resource).own() * RESERVE);
-        self.wanted(now, resource)
-            .max(reserve)
-            .max(self.used(resource))
+        let needed = match resource {
+            Resource::Rate => self.demand.steady_rate(now),
+            Resource::Slots => self.used(resource),
+        };
+        self.wanted(now, resource).max(reserve).max(needed)
     }
 
     /// What is in use and cannot be taken back.
@@ -169,10 +190,11 @@
         now: Instant,
         resource: Resource,
         to: &str,
+        id: u64,
         amount: f64,
     ) -> f64 {
         let held = self.rate.ledger.held(now);
-        let added = amount - self.rate.ledger.lent_to(to, now);
+        let added = amount - self.rate.ledger.lent_to(to, id, now);
         if resource == Resource::Slots || held <= 0.0 || added <= 0.0 {
             return 0.0;
         }
--- a/crates/cornelwinch_admission/src/admission.rs
+++ b/crates/cornelwinch_admission/src/admission.rs
@@ -6,6 +6,7 @@
 use crate::account::{Account, Limits};
 use crate::bucket::BucketSize;
 use crate::exchange::Context;
+use crate::ledger::first_id;
 use crate::views::Views;
 use crate::{AdmissionAction, AdmissionMsg, Resource};
 
@@ -40,6 +41,18 @@
     }
 }
 
+impl AdmissionConfig {
+    /// Time for which a request waits for its answer before it is repeated.
+    pub(crate) fn patience(&self) -> Duration {
+        self.interval + self.interval / 2
+    }
+
+    /// Age at which a host's last request to the home host no longer counts.
+    pub(crate) fn claim_age(&self) -> Duration {
+        self.grant.max(3 * self.interval)
+    }
+}
+
 /// How a caller is identified.
 #[derive(Debug, Clone, Copy)]
 pub enum Credential<'a> {
@@ -92,9 +105,13 @@
 /// share is in the view of all others: N tokens because a share too small for
 /// one token may collect one. A host that the others have not learned of
 /// within `join_delay` adds its share of R/N. Groups of hosts that never knew
-/// each other admit R each.
+/// each other admit R each. A lowered plan holds once the loans made before
+/// the change have ended. A request that overruns its class's deadline may
+/// keep a borrowed slot longer than the loan.
 ///
-/// A host that is cut off keeps its own share and nothing else.
+/// A host that is cut off keeps its own share and nothing else. A started host
+/// has no share until the others have had time to learn of it and loans made
+/// before have ended; until then it asks the home hosts for grants.
 ///
 /// ```
 /// use std::time::{Duration, Instant};
@@ -128,9 +145,7 @@
 impl Admission {
     /// Opens the admission of a host, without a configuration.
     pub fn open(now: Instant, me: Name, cfg: AdmissionConfig, mut rng: fastrand::Rng) -> Self {
-        // A random start keeps a late answer to an earlier process of the same
-        // name from matching a request of this one.
-        let last_id = rng.u64(..1 << 62);
+        let last_id = first_id(&mut rng);
         let settling = cfg.join_delay + cfg.loan * 2;
         let views = Views::open(now, me.clone());
         Self {
@@ -269,7 +284,10 @@
     ) {
         let portion = msg.portion();
         let is_amount = |amount: f64| amount.is_finite() && amount >= 0.0;
-        if !is_amount(portion.amount) || !is_amount(portion.tokens) {
+        if ![portion.amount, portion.held, portion.tokens]
+            .into_iter()
+            .all(is_amount)
+        {
             return;
         }
         self.with_account(now, &portion.customer, out, |account, cx| match msg {
--- a/crates/cornelwinch_admission/src/bucket.rs
+++ b/crates/cornelwinch_admission/src/bucket.rs
@@ -71,9 +71,10 @@
         enough
     }
 
-    /// Moves a part of the tokens out, with a loan of that part of the rate.
+    /// Moves a part of the tokens out, with a loan of that part of the rate. One
+    /// token stays, so that the next request need not wait for a loan.
     pub(crate) fn split(&mut self, part: f64) -> f64 {
-        let moved = self.tokens.max(0.0) * part.clamp(0.0, 1.0);
+        let moved = (self.tokens - 1.0).max(0.0) * part.clamp(0.0, 1.0);
         self.tokens -= moved;
         moved
     }
--- a/crates/cornelwinch_admission/src/demand.rs
+++ b/crates/cornelwinch_admission/src/demand.rs
@@ -2,16 +2,17 @@
 
 /// Time constant of the estimate of the offered rate.
 const RATE_MEMORY: Duration = Duration::from_millis(300);
+/// Time constant of the estimate that decides what a host lends. A longer one
+/// keeps a host from lending in a short dip what it needs; a shorter one frees
+/// the share sooner when a customer moves away.
+const LENDING_MEMORY: Duration = Duration::from_millis(500);
 /// Time over which the highest number of wanted slots is remembered.
 const PEAK_WINDOW: Duration = Duration::from_millis(500);
-/// Wanted rate over the estimated one, so that a slightly low estimate does
-/// not limit the customer.
-const HEADROOM: f64 = 1.2;
-
 /// What a customer recently asked of this host, refused requests included.
 #[derive(Debug, Clone)]
 pub(crate) struct Demand {
     rate: f64,
+    steady_rate: f64,
     updated: Instant,
     in_use: u32,
     refused: u32,
@@ -24,6 +25,7 @@
     pub(crate) fn open(now: Instant) -> Self {
         Self {
             rate: 0.0,
+            steady_rate: 0.0,
             updated: now,
             in_use: 0,
             refused: 0,
@@ -40,6 +42,7 @@
 
     /// Counts an offered request, admitted or not.
     pub(crate) fn offer(&mut self, now: Instant, cost: f64) {
+        self.steady_rate = self.steady_rate(now) + cost / LENDING_MEMORY.as_secs_f64();
         self.rate = self.rate(now) + cost / RATE_MEMORY.as_secs_f64();
         self.updated = now;
     }
@@ -64,17 +67,19 @@
         self.in_use = self.in_use.saturating_sub(1);
     }
 
-    /// Estimated cost offered per second.
+    /// Estimated cost offered per second, of late.
     pub(crate) fn rate(&self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.updated).as_secs_f64();
-        self.rate * (-age / RATE_MEMORY.as_secs_f64()).exp()
+        self.rate * self.decay(now, RATE_MEMORY)
+    }
+
+    /// Estimated cost offered per second, over a longer time.
+    pub(crate) fn steady_rate(&self, now: Instant) -> f64 {
+        self.steady_rate * self.decay(now, LENDING_MEMORY)
     }
 
-    /// Rate that this host wants, with headroom.
-    pub(crate) fn wanted_rate(&self, now: Instant) -> f64 {
-        let rate = self.rate(now) * HEADROOM;
-        // The estimate never reaches zero; a thousandth of a request is idle.
-        if rate < 1e-3 { 0.0 } else { rate }
+    fn decay(&self, now: Instant, memory: Duration) -> f64 {
+        let age = now.saturating_duration_since(self.updated);
+        (-age.as_secs_f64() / memory.as_secs_f64()).exp()
     }
 
     /// Slots that this host wants.
--- a/crates/cornelwinch_admission/src/exchange.rs
+++ b/crates/cornelwinch_admission/src/exchange.rs
@@ -3,19 +3,24 @@
 use cornelwinch_types::Name;
 
 use crate::account::{Account, whole};
-use crate::ledger::Ledger;
+use crate::ledger::{Ledger, process};
 use crate::views::Views;
 use crate::{AdmissionAction, AdmissionConfig, AdmissionMsg, Portion, Resource};
 
 /// A lender waits this much longer for the end of a loan, in thousandths, to
 /// allow for clocks of different speed.
 const DRIFT_PER_MILLE: u32 = 10;
+/// Smallest part of a loan that is asked for again while less is needed, so
+/// that a short dip of the demand does not scatter the borrowed shares.
+const SLOW_RETURN: f64 = 0.8;
+/// Increase of a grant that is sent before the host asks again.
+const WORTH_SENDING: f64 = 1.1;
 
 /// Loans of one resource of a customer and the requests for them.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Exchange {
     pub(crate) ledger: Ledger,
-    /// Requests of this host that may still be answered, oldest first.
+    /// The last request to each host.
     asked: Vec<Asked>,
     /// What other hosts ask of this one, by host.
     claims: Vec<Claim>,
@@ -29,6 +34,7 @@
     of: Name,
     sent: Instant,
     duration: Duration,
+    answered: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -75,11 +81,21 @@
         self.next_round = Some(self.next_round.map_or(due, |next| next.min(due)));
     }
 
-    /// Time at which an answered request was sent, and the duration it named.
-    fn sent(&self, from: &Name, id: u64) -> Option<(Instant, Duration)> {
-        let mut asked = self.asked.iter();
-        let asked = asked.find(|asked| asked.id == id && asked.of == *from)?;
-        Some((asked.sent, asked.duration))
+    /// The request that a message answers, if it is the last one to the host:
+    /// an answer to an earlier one would break the promise in the last one.
+    fn answered(&mut self, from: &Name, id: u64) -> Option<&Asked> {
+        let asked = self
+            .asked
+            .iter_mut()
+            .find(|asked| asked.of == *from && asked.id == id)?;
+        asked.answered = true;
+        Some(asked)
+    }
+
+    /// Reports whether a request to a host waits for its answer.
+    fn is_waiting(&self, host: &Name, now: Instant, patience: Duration) -> bool {
+        let asked = self.asked.iter().find(|asked| asked.of == *host);
+        asked.is_some_and(|asked| !asked.answered && asked.sent + patience > now)
     }
 }
 
@@ -101,8 +117,9 @@
         exchange.next_round = None;
         exchange.last_round = Some(now);
         exchange.asked.retain(|asked| asked.sent + loan > now);
-        let oldest = cx.cfg.grant.max(3 * cx.cfg.interval);
-        exchange.claims.retain(|claim| claim.seen + oldest > now);
+        exchange
+            .claims
+            .retain(|claim| claim.seen + cx.cfg.claim_age() > now);
         let claimed: f64 = exchange.claims.iter().map(|claim| claim.amount).sum();
         if missing + claimed > 0.0 {
             exchange.schedule(now, cx.cfg.interval);
@@ -111,10 +128,19 @@
         if is_home || claimed > 0.0 {
             self.pull(resource, claimed, cx);
         }
-        if !is_home && missing > 0.0 {
-            let portion = self.portion(resource, missing, cx.cfg.grant, cx);
-            let home = self.home.clone();
-            self.ask(resource, &home, AdmissionMsg::AskGrant(portion), cx);
+        if !is_home {
+            self.ask_home(resource, missing, cx);
+        }
+    }
+
+    /// Asks the home host for what is missing, and gives back what is not.
+    fn ask_home(&mut self, resource: Resource, missing: f64, cx: &mut Context<'_>) {
+        let home = self.home.clone();
+        let borrowed = self.ledger(resource).borrowed_from(&home, cx.now);
+        if missing + borrowed > 0.0 {
+            self.exchange_mut(resource)
+                .schedule(cx.now, cx.cfg.interval);
+            self.ask(resource, &home, missing, cx);
         }
     }
 
@@ -142,7 +168,7 @@
             let amount = if borrowed < needed {
                 held + needed - borrowed
             } else {
-                held * needed / borrowed
+                held * (needed / borrowed).max(SLOW_RETURN)
             };
             // Slots are lent whole, so a part of one is asked for as one.
             let amount = match resource {
@@ -150,57 +176,72 @@
                 Resource::Slots => amount.ceil(),
             };
             if amount > 0.0 {
-                let portion = self.portion(resource, amount, cx.cfg.loan, cx);
-                self.ask(resource, &lender, AdmissionMsg::PullShare(portion), cx);
+                self.ask(resource, &lender, amount, cx);
             }
         }
     }
 
-    fn portion(
-        &self,
-        resource: Resource,
-        amount: f64,
-        base: Duration,
-        cx: &mut Context<'_>,
-    ) -> Portion {
-        Portion {
-            customer: self.customer.clone(),
-            resource,
-            id: cx.next_id(),
-            amount,
-            tokens: 0.0,
-            duration: self.duration(resource, base),
+    /// Asks a host for an amount that replaces what it lent before, unless an
+    /// earlier request to it is still waiting for its answer.
+    fn ask(&mut self, resource: Resource, of: &Name, amount: f64, cx: &mut Context<'_>) {
+        let (now, used) = (cx.now, self.used(resource));
+        let is_home = self.home == *of;
+        let base = if is_home { cx.cfg.grant } else { cx.cfg.loan };
+        let duration = self.duration(resource, base);
+        let horizon = match resource {
+            Resource::Rate => now,
+            Resource::Slots => now + self.limits.longest,
+        };
+        let exchange = self.exchange_mut(resource);
+        if exchange.is_waiting(of, now, cx.cfg.patience()) {
+            return;
         }
-    }
-
-    fn ask(&mut self, resource: Resource, of: &Name, msg: AdmissionMsg, cx: &mut Context<'_>) {
-        let Portion { id, duration, .. } = *msg.portion();
+        let id = cx.next_id();
+        let held = exchange.ledger.give_back(now, horizon, of, amount, used);
         let asked = Asked {
             id,
             of: of.clone(),
-            sent: cx.now,
+            sent: now,
+            duration,
+            answered: false,
+        };
+        exchange.asked.retain(|asked| asked.of != *of);
+        exchange.asked.push(asked);
+        let customer = self.customer.clone();
+        let portion = Portion {
+            customer,
+            resource,
+            id,
+            amount,
+            held,
+            tokens: 0.0,
             duration,
         };
-        self.exchange_mut(resource).asked.push(asked);
-        cx.send(of, msg);
+        self.clip(now);
+        match is_home {
+            true => cx.send(of, AdmissionMsg::AskGrant(portion)),
+            false => cx.send(of, AdmissionMsg::PullShare(portion)),
+        }
     }
 
     /// Answers the home host with the idle part of this host's own share.
     pub(crate) fn on_pull(&mut self, from: &Name, asked: &Portion, cx: &mut Context<'_>) {
         let (now, resource) = (cx.now, asked.resource);
+        self.exchange_mut(resource)
+            .ledger
+            .reclaim(from, asked.id, asked.held);
         let kept = self.kept(now, resource);
         let ledger = self.ledger(resource);
-        let others = ledger.lent(now) - ledger.lent_to(from, now);
+        let others = ledger.lent(now) - ledger.lent_to(from, asked.id, now);
         let idle = ledger.own() - others - kept;
         let amount = whole(resource, asked.amount.min(idle));
-        if amount > 0.0 {
-            let duration = asked.duration.min(self.duration(resource, cx.cfg.loan));
-            let portion = self.lend(from, asked, amount, duration, cx);
-            cx.send(from, AdmissionMsg::LendShare(portion));
-        }
+        let duration = asked.duration.min(self.duration(resource, cx.cfg.loan));
+        let portion = self.lend(from, asked, amount, duration, cx);
+        cx.send(from, AdmissionMsg::LendShare(portion));
     }
 
-    /// Answers a host that asks for more than its share.
+    /// Answers a host that asks for more than its share, and passes on what it
+    /// gave back.
     pub(crate) fn on_ask(&mut self, from: &Name, asked: &Portion, cx: &mut Context<'_>) {
         let exchange = self.exchange_mut(asked.resource);
         let claim = Claim {
@@ -210,17 +251,35 @@
             seen: cx.now,
         };
         match exchange.claims.binary_search_by(|held| held.host.cmp(from)) {
-            Ok(i) => exchange.claims[i] = claim,
+            Ok(i) => {
+                let held = &exchange.claims[i];
+                if held.id >= asked.id && process(held.id) == process(asked.id) {
+                    return;
+                }
+                exchange.claims[i] = claim;
+            }
             Err(i) => exchange.claims.insert(i, claim),
         }
+        exchange.ledger.reclaim(from, asked.id, asked.held);
         exchange.schedule(cx.now, cx.cfg.interval);
-        self.grant(from, asked, cx);
+        let portion = self.grant(from, asked, cx);
+        cx.send(from, AdmissionMsg::Grant(portion));
+        self.serve_claims(asked.resource, cx);
+    }
+
+    fn grant(&mut self, to: &Name, asked: &Portion, cx: &Context<'_>) -> Portion {
+        let amount = self.grantable(to, asked, cx);
+        let duration = asked
+            .duration
+            .min(self.duration(asked.resource, cx.cfg.grant));
+        self.lend(to, asked, amount, duration, cx)
     }
 
-    fn grant(&mut self, to: &Name, asked: &Portion, cx: &mut Context<'_>) {
+    /// What a host may get now, out of what this host keeps until the grant
+    /// ends.
+    fn grantable(&mut self, to: &Name, asked: &Portion, cx: &Context<'_>) -> f64 {
         let (now, resource) = (cx.now, asked.resource);
-        let duration = asked.duration.min(self.duration(resource, cx.cfg.grant));
-        let horizon = cx.lent_until(duration);
+        let horizon = cx.lent_until(asked.duration.min(self.duration(resource, cx.cfg.grant)));
         let wanted = self.wanted(now, resource);
         let used = self.used(resource);
         let exchange = self.exchange(resource);
@@ -230,13 +289,9 @@
         let allotted = divide(resource, pool, &wants);
         let place = exchange.claims.iter().position(|claim| claim.host == *to);
         let allotment = place.map_or(0.0, |i| allotted[i + 1]);
-        let others = exchange.ledger.lent(now) - exchange.ledger.lent_to(to, now);
+        let others = exchange.ledger.lent(now) - exchange.ledger.lent_to(to, asked.id, now);
         let left = pool - others - allotted[0].max(used);
-        let amount = whole(resource, allotment.min(left));
-        if amount > 0.0 {
-            let portion = self.lend(to, asked, amount, duration, cx);
-            cx.send(to, AdmissionMsg::Grant(portion));
-        }
+        whole(resource, allotment.min(left))
     }
 
     fn lend(
@@ -248,9 +303,11 @@
         cx: &Context<'_>,
     ) -> Portion {
         let resource = asked.resource;
-        let tokens = self.split_tokens(cx.now, resource, to, amount);
+        let tokens = self.split_tokens(cx.now, resource, to, asked.id, amount);
         let until = cx.lent_until(duration);
-        self.exchange_mut(resource).ledger.lend(to, amount, until);
+        self.exchange_mut(resource)
+            .ledger
+            .lend(to, asked.id, amount, until);
         self.clip(cx.now);
         Portion {
             amount,
@@ -262,37 +319,39 @@
 
     /// Takes a portion that another host lent.
     pub(crate) fn on_lent(&mut self, from: &Name, lent: &Portion, cx: &mut Context<'_>) {
-        let resource = lent.resource;
-        let exchange = self.exchange_mut(resource);
-        let Some((sent, longest)) = exchange.sent(from, lent.id) else {
+        let exchange = self.exchange_mut(lent.resource);
+        let Some(asked) = exchange.answered(from, lent.id) else {
             return;
         };
-        let until = sent + lent.duration.min(longest);
+        let until = asked.sent + asked.duration.min(lent.duration);
         if until <= cx.now || !exchange.ledger.borrow(from, lent.id, lent.amount, until) {
             return;
         }
-        if resource == Resource::Rate {
+        if lent.resource == Resource::Rate {
             self.bucket.add(lent.tokens);
             self.clip(cx.now);
         }
-        self.serve_claims(resource, cx);
+        self.serve_claims(lent.resource, cx);
     }
 
-    /// Passes newly borrowed portions on to the hosts that still lack them.
+    /// Passes what this host has come to hold on to the hosts that lack it.
     fn serve_claims(&mut self, resource: Resource, cx: &mut Context<'_>) {
-        let claims = self.exchange(resource).claims.clone();
-        for claim in claims {
-            let lent = self.ledger(resource).lent_to(&claim.host, cx.now);
-            if lent < claim.amount && claim.seen + cx.cfg.grant > cx.now {
-                let asked = Portion {
-                    customer: self.customer.clone(),
-                    resource,
-                    id: claim.id,
-                    amount: claim.amount,
-                    tokens: 0.0,
-                    duration: self.duration(resource, cx.cfg.grant),
-                };
-                self.grant(&claim.host, &asked, cx);
+        for claim in self.exchange(resource).claims.clone() {
+            let lent = self.ledger(resource).lent_to(&claim.host, claim.id, cx.now);
+            let asked = Portion {
+                customer: self.customer.clone(),
+                resource,
+                id: claim.id,
+                amount: claim.amount,
+                held: 0.0,
+                tokens: 0.0,
+                duration: self.duration(resource, cx.cfg.grant),
+            };
+            let is_fresh = claim.seen + cx.cfg.grant > cx.now;
+            let offered = self.grantable(&claim.host, &asked, cx);
+            if is_fresh && offered > lent * WORTH_SENDING && offered > 0.0 {
+                let portion = self.grant(&claim.host, &asked, cx);
+                cx.send(&claim.host, AdmissionMsg::Grant(portion));
             }
         }
     }
--- a/crates/cornelwinch_admission/src/ledger.rs
+++ b/crates/cornelwinch_admission/src/ledger.rs
@@ -7,8 +7,9 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Ledger {
     own: f64,
-    /// By peer. Several loans to one peer may be outstanding; the peer uses
-    /// only the newest one that reached it.
+    /// By peer and its process. Several loans to one process may be
+    /// outstanding; it uses only the newest one that reached it. An earlier
+    /// process of the same name may have passed on what it borrowed.
     lent: Vec<Loan>,
     /// By peer, one from each.
     borrowed: Vec<Loan>,
@@ -17,12 +18,18 @@
 #[derive(Debug, Clone)]
 struct Loan {
     peer: Name,
-    /// Number of the request; unused in loans to others.
+    /// Number of the request that the loan answered.
     id: u64,
     amount: f64,
     until: Instant,
 }
 
+impl Loan {
+    fn borrower(&self) -> (&str, u64) {
+        (&self.peer, process(self.id))
+    }
+}
+
 impl Ledger {
     pub(crate) fn own(&self) -> f64 {
         self.own
@@ -65,35 +72,92 @@
         loan.map_or(0.0, |loan| loan.amount)
     }
 
-    /// Sum over the peers of the most that each may be using.
+    /// Sum over the peers' processes of the most that each may be using.
     pub(crate) fn lent(&self, now: Instant) -> f64 {
-        let by_peer = self.lent.chunk_by(|a, b| a.peer == b.peer);
-        by_peer.map(|loans| largest(loans, now)).sum()
+        let by_process = self.lent.chunk_by(|a, b| a.borrower() == b.borrower());
+        by_process.map(|loans| largest(loans, now)).sum()
     }
 
-    /// The most that one peer may be using.
-    pub(crate) fn lent_to(&self, peer: &str, now: Instant) -> f64 {
-        let start = self.lent.partition_point(|loan| &*loan.peer < peer);
-        let end = self.lent.partition_point(|loan| &*loan.peer <= peer);
+    /// The most that the process which sent a request may be using.
+    pub(crate) fn lent_to(&self, peer: &str, id: u64, now: Instant) -> f64 {
+        let borrower = (peer, process(id));
+        let start = self.lent.partition_point(|loan| loan.borrower() < borrower);
+        let end = self
+            .lent
+            .partition_point(|loan| loan.borrower() <= borrower);
         largest(&self.lent[start..end], now)
     }
 
     /// Records a loan to a peer.
-    pub(crate) fn lend(&mut self, peer: &Name, amount: f64, until: Instant) {
-        self.lent
-            .retain(|loan| loan.peer != *peer || loan.amount > amount || loan.until > until);
-        let end = self.lent.partition_point(|loan| loan.peer <= *peer);
+    pub(crate) fn lend(&mut self, peer: &Name, id: u64, amount: f64, until: Instant) {
+        if amount <= 0.0 {
+            return;
+        }
+        let borrower = (&**peer, process(id));
+        self.lent.retain(|loan| {
+            loan.borrower() != borrower || loan.amount > amount || loan.until > until
+        });
+        let end = self
+            .lent
+            .partition_point(|loan| loan.borrower() <= borrower);
         self.lent.insert(
             end,
             Loan {
                 peer: peer.clone(),
-                id: 0,
+                id,
                 amount,
                 until,
             },
         );
     }
 
+    /// Lowers the loans that the process which sent a request got before it, to
+    /// what it promises to use of them.
+    pub(crate) fn reclaim(&mut self, peer: &str, id: u64, held: f64) {
+        for loan in &mut self.lent {
+            if loan.borrower() == (peer, process(id)) && loan.id < id {
+                loan.amount = loan.amount.min(held);
+            }
+        }
+    }
+
+    /// Gives up what is not wanted of the loan from a peer, as far as nothing
+    /// in use depends on it, and returns what this host may go on using.
+    ///
+    /// `used` is in use here and cannot be taken back before the horizon, nor
+    /// can what is lent.
+    pub(crate) fn give_back(
+        &mut self,
+        now: Instant,
+        horizon: Instant,
+        peer: &Name,
+        wanted: f64,
+        used: f64,
+    ) -> f64 {
+        let horizon = self
+            .lent
+            .iter()
+            .map(|loan| loan.until)
+            .fold(horizon, Instant::max);
+        let needed = (self.lent(now) + used - self.own).max(0.0);
+        let lasting = self.borrowed(horizon);
+        // Positive if a loan was replaced by a smaller one while the larger one
+        // was in use; the lender still keeps the larger one for this host.
+        let lacking = (needed - lasting).max(0.0);
+        let Some(loan) = self.borrowed.iter_mut().find(|loan| loan.peer == *peer) else {
+            return lacking;
+        };
+        let bound = if loan.until > horizon {
+            loan.amount + needed - lasting
+        } else {
+            0.0
+        };
+        if lacking == 0.0 {
+            loan.amount = loan.amount.min(wanted.max(bound));
+        }
+        loan.amount + lacking
+    }
+
     /// Records a loan from a peer in place of the one before. An answer to an
     /// earlier request than that of the present loan is ignored.
     pub(crate) fn borrow(&mut self, peer: &Name, id: u64, amount: f64, until: Instant) -> bool {
@@ -127,6 +191,20 @@
     }
 }
 
+/// Bits of a request's number that count the requests of one process; the
+/// others are random for each process.
+const COUNTER_BITS: u32 = 40;
+
+/// First number of a process's requests.
+pub(crate) fn first_id(rng: &mut fastrand::Rng) -> u64 {
+    rng.u64(..1 << (u64::BITS - COUNTER_BITS)) << COUNTER_BITS
+}
+
+/// The process that sent a request.
+pub(crate) fn process(id: u64) -> u64 {
+    id >> COUNTER_BITS
+}
+
 fn largest(loans: &[Loan], now: Instant) -> f64 {
     loans
         .iter()
--- a/crates/cornelwinch_admission/src/message.rs
+++ b/crates/cornelwinch_admission/src/message.rs
@@ -19,10 +19,16 @@
     pub customer: Name,
     /// Rate or slots.
     pub resource: Resource,
-    /// Number chosen by the asking host and echoed by the answer.
+    /// Number chosen by the asking host and echoed by the answer. It grows, and
+    /// its upper bits are random for each process, which tells a restarted host
+    /// from its predecessor.
     pub id: u64,
     /// Requests per second, or requests in progress.
     pub amount: f64,
+    /// In a request: what the asking host still uses of earlier loans from the
+    /// asked one. It promises not to use more before it gets an answer to this
+    /// request, and ignores answers to earlier ones.
+    pub held: f64,
     /// Requests that the share has accumulated and that move with it.
     pub tokens: f64,
     /// Time for which the portion is lent. The asking host counts it from
