--- a/crates/cornelwinch_lab/src/deployment.rs
+++ b/crates/cornelwinch_lab/src/deployment.rs
@@ -10,7 +10,9 @@
     CustomerSpec, EntryValue, PlanSpec, SearchSpec, ServiceState, UpstreamSpec, ZoneSpec,
 };
 use cornelwinch_standins::document_count;
-use cornelwinch_standins::platform::{self, Platform, PlatformConfig};
+use cornelwinch_standins::platform::{
+    self, HostRole, HostRow, HostState, Platform, PlatformConfig, PlatformFault,
+};
 use cornelwinch_standins::upstream::{self, HeldSnapshot, Upstream, UpstreamConfig};
 use cornelwinch_types::{KeyRange, Name, Shard, Snapshot, SnapshotId};
 use serde_json::json;
@@ -256,6 +258,15 @@
             cold_limit: search.cold.limit,
             state: ServiceState::In,
         };
+        let row = HostRow {
+            name: name.clone(),
+            zone: spec.zone.clone(),
+            role: HostRole::Upstream,
+            peer: None,
+            gossip: None,
+            state: HostState::Live,
+        };
+        self.platform.apply(PlatformFault::SetHost { host: row });
         self.put(&name, &EntryValue::Upstream(Some(spec)))?;
         self.upstreams.push(upstream);
         Ok(name)
@@ -279,6 +290,15 @@
             let zone = self.shape.zones[i % self.shape.zones.len()].clone();
             let name: Name = format!("{zone}-{}", i / self.shape.zones.len() + 1).into();
             let settings = self.write_settings(&name, &zone, addrs, &seeds)?;
+            let row = HostRow {
+                name: name.clone(),
+                zone: zone.clone(),
+                role: HostRole::Host,
+                peer: Some(addrs.peer),
+                gossip: Some(addrs.gossip),
+                state: HostState::Live,
+            };
+            self.platform.apply(PlatformFault::SetHost { host: row });
             let host = HostProcess::spawn(name, zone, addrs, program, &settings, OPERATOR_TOKEN)?;
             self.hosts.push(host);
         }
--- a/crates/cornelwinch_lab/src/host.rs
+++ b/crates/cornelwinch_lab/src/host.rs
@@ -133,7 +133,16 @@
 
     /// The host's status, if it answers.
     pub fn status(&self) -> Option<Value> {
-        let url = format!("http://{}/v1/status", self.addrs.operator);
+        self.ask_operator("status")
+    }
+
+    /// Bytes that the host has exchanged with others, if it answers.
+    pub fn traffic(&self) -> Option<Value> {
+        self.ask_operator("traffic")
+    }
+
+    fn ask_operator(&self, call: &str) -> Option<Value> {
+        let url = format!("http://{}/v1/{call}", self.addrs.operator);
         let mut resp = agent()
             .get(url)
             .header("Authorization", format!("Bearer {}", self.token))
