Count requests in progress on a listener

Cause: a graceful shutdown has to know when no request is interrupted; the number of connections stays above zero for callers that are idle. Ruled out: counting in the handler, which misses requests that are still being read and answers that are still being written. Change: HttpServer::requests(). Tests of it, of HTTP/1.0, Expect and requests sent ahead, and of the stand-in's connection delay. Conclusion: the daemon can drop the server once the number is 0.

--- a/crates/cornelwinch_http/src/pool.rs
+++ b/crates/cornelwinch_http/src/pool.rs
@@ -33,7 +33,8 @@
     /// Time without traffic after which a caller that owes bytes or does not
     /// read its answer is cut, and largest time for a whole header.
     pub idle: Duration,
-    /// Threads that read requests and run the handler.
+    /// Threads that read requests and run the handler; not used by
+    /// [`HttpPool::bind`], where the pool has its own number.
     pub workers: usize,
 }
 
@@ -55,6 +56,7 @@
     pub(crate) handler: Arc<Handler>,
     pub(crate) keep_alive: AtomicBool,
     pub(crate) connections: AtomicUsize,
+    pub(crate) requests: AtomicUsize,
 }
 
 /// Threads that several listeners share: a relay, the workers and a writer.
@@ -136,6 +138,7 @@
             handler: Arc::new(handler),
             keep_alive: AtomicBool::new(true),
             connections: AtomicUsize::new(0),
+            requests: AtomicUsize::new(0),
         });
         let (stop, stopped) = oneshot::channel();
         let (closing, closed) = crossbeam_channel::bounded(0);
@@ -198,6 +201,12 @@
     pub fn connections(&self) -> usize {
         self.state.connections.load(Ordering::Acquire)
     }
+
+    /// Number of requests that are being read, run or answered. A server that
+    /// is dropped at 0 interrupts none.
+    pub fn requests(&self) -> usize {
+        self.state.requests.load(Ordering::Acquire)
+    }
 }
 
 impl Drop for HttpServer {
--- a/crates/cornelwinch_http/src/relay.rs
+++ b/crates/cornelwinch_http/src/relay.rs
@@ -204,10 +204,10 @@
     async fn serve(mut self) -> io::Result<()> {
         self.stream.set_nodelay(true)?;
         let mut first = true;
-        loop {
+        while self.wait_request().await? {
+            let _request = CountGuard::enter(&self.state, |state| &state.requests);
             let head = match self.read_head().await? {
-                Ok(Some(head)) => head,
-                Ok(None) => return Ok(()),
+                Ok(head) => head,
                 Err(refusal) => {
                     refuse(self.stream, refusal).await;
                     return Ok(());
@@ -230,22 +230,28 @@
                 return Ok(());
             }
         }
+        Ok(())
     }
 
-    /// Reads a request head; `Ok(None)` when the caller is done or cut.
-    async fn read_head(&mut self) -> io::Result<Result<Option<RequestHead>, Refusal>> {
-        let idle = self.state.limits.idle;
-        if self.buf.is_empty() {
-            match timeout(idle, self.stream.read_buf(&mut self.buf)).await {
-                Ok(Ok(read)) if read > 0 => {}
-                Ok(Err(error)) => return Err(error),
-                _ => return Ok(Ok(None)),
-            }
+    /// Waits for the first byte of a request; false when the caller has closed
+    /// or was silent for the idle time.
+    async fn wait_request(&mut self) -> io::Result<bool> {
+        if !self.buf.is_empty() {
+            return Ok(true);
         }
+        match timeout(self.state.limits.idle, self.stream.read_buf(&mut self.buf)).await {
+            Ok(read) => Ok(read? > 0),
+            Err(_) => Ok(false),
+        }
+    }
+
+    /// Reads a request head, or says why the request is refused.
+    async fn read_head(&mut self) -> io::Result<Result<RequestHead, Refusal>> {
+        let idle = self.state.limits.idle;
         let deadline = Instant::now() + idle;
         loop {
             match parse_request(&self.buf) {
-                Ok(Some(head)) => return Ok(Ok(Some(head))),
+                Ok(Some(head)) => return Ok(Ok(head)),
                 Ok(None) if self.buf.len() >= HEAD_BYTES => return Ok(Err(HEAD_TOO_LARGE)),
                 Ok(None) => {}
                 Err(refusal) => return Ok(Err(refusal)),
--- a/crates/cornelwinch_http/tests/basic_exchange.rs
+++ b/crates/cornelwinch_http/tests/basic_exchange.rs
@@ -155,3 +155,51 @@
     assert_eq!(stream.read(&mut [0; 1]).unwrap_or(0), 0);
     bind(addr, HttpLimits::default(), |_| {}).unwrap();
 }
+
+#[test]
+fn older_and_eager_callers_are_served() {
+    // Guards against an HTTP/1.0 caller that waits for a close, a caller that
+    // waits for leave to send its body, and requests sent ahead of answers.
+    let server = serve(|req| req.responder.text(200, req.body));
+    let mut answer = String::new();
+    let mut old = connect(&server);
+    old.get_mut().write_all(b"GET / HTTP/1.0\r\n\r\n").unwrap();
+    old.read_to_string(&mut answer).unwrap();
+    assert!(answer.contains("Connection: close\r\n"), "{answer}");
+    let mut stream = connect(&server);
+    let head = b"POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n";
+    stream.get_mut().write_all(head).unwrap();
+    let (head, _) = read_answer(&mut stream);
+    assert!(head.starts_with("HTTP/1.1 100 "), "{head}");
+    stream.get_mut().write_all(b"ab").unwrap();
+    assert_eq!(read_answer(&mut stream).1, "ab");
+    let two = b"POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\ncPOST / HTTP/1.1\r\nContent-Length: 1\r\n\r\nd";
+    stream.get_mut().write_all(two).unwrap();
+    assert_eq!(read_answer(&mut stream).1, "c");
+    assert_eq!(read_answer(&mut stream).1, "d");
+}
+
+#[test]
+fn requests_in_progress_are_counted() {
+    // Guards against a shutdown that takes a half-read request for an idle
+    // connection.
+    let (tx, rx) = mpsc::channel();
+    let server = serve(move |req| tx.send(req.responder).unwrap());
+    let mut stream = connect(&server);
+    stream.get_mut().write_all(b"G").unwrap();
+    while server.requests() == 0 {
+        std::thread::yield_now();
+    }
+    stream
+        .get_mut()
+        .write_all(b"ET / HTTP/1.1\r\n\r\n")
+        .unwrap();
+    let responder: Responder = rx.recv().unwrap();
+    assert_eq!(server.requests(), 1);
+    responder.empty(204);
+    read_answer(&mut stream);
+    while server.requests() > 0 {
+        std::thread::yield_now();
+    }
+    assert_eq!(server.connections(), 1);
+}
--- a/crates/cornelwinch_standins/tests/leg_faults.rs
+++ b/crates/cornelwinch_standins/tests/leg_faults.rs
@@ -4,7 +4,7 @@
 
 use std::net::TcpStream;
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cornelwinch_standins::documents;
 use cornelwinch_standins::upstream::{
@@ -255,3 +255,28 @@
     );
     assert_eq!(counters.runs, [("order 7".to_owned(), 2)]);
 }
+
+#[test]
+fn new_connections_cost_time() {
+    // Guards against connections that are free, which would hide a client that
+    // opens one for each leg.
+    let delay = Duration::from_millis(30);
+    let upstream = spawn(UpstreamConfig {
+        connection_delay: delay,
+        ..upstream_config(Duration::ZERO)
+    })
+    .unwrap();
+    let (agent, begin) = (agent(), Instant::now());
+    for attempt in 0..3 {
+        let answer = call(
+            &agent,
+            "POST",
+            upstream.address(),
+            "/v1/leg",
+            &leg(attempt, "x"),
+        );
+        assert_eq!(answer.unwrap().0, 200);
+    }
+    assert!(begin.elapsed() >= delay);
+    assert_eq!(upstream.counters().connections, 1);
+}
