Report the start delay of the load generator

Cause: on a busy machine the latencies of a trial had a median of 0.6 to 1.9 ms for an empty answer, and the report could not tell the generator's own lateness from the server's. Ruled out: spinning until the planned time, which would take the processors from the programs under test. Change: quantiles of the time from planned to real start.

--- a/crates/cornelwinch_bench/src/report.rs
+++ b/crates/cornelwinch_bench/src/report.rs
@@ -12,9 +12,11 @@
     pub done_per_s: f64,
     /// Time from the start to the last answer, in seconds.
     pub elapsed_s: f64,
-    /// Requests that started more than 2 ms late because every connection was
-    /// busy; if there are many, raise `connections`.
+    /// Requests that started more than 2 ms late: no connection was free, or
+    /// the machine was busy. Many of them make the latencies doubtful.
     pub late_starts: u64,
+    /// Time from planned to real start, which is part of each latency.
+    pub start_delay: Quantiles,
     /// Answers that the verifier found wrong.
     pub wrong: u64,
     /// First messages of the verifier.
@@ -169,8 +171,14 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "offered_per_s={:.1} done_per_s={:.1} elapsed_s={:.2} late_starts={} wrong={}",
-            self.offered_per_s, self.done_per_s, self.elapsed_s, self.late_starts, self.wrong
+            "offered_per_s={:.1} done_per_s={:.1} elapsed_s={:.2} late_starts={} start_delay_p50_us={} start_delay_p99_us={} wrong={}",
+            self.offered_per_s,
+            self.done_per_s,
+            self.elapsed_s,
+            self.late_starts,
+            self.start_delay.p50_us,
+            self.start_delay.p99_us,
+            self.wrong
         )?;
         writeln!(
             f,
--- a/crates/cornelwinch_bench/src/run.rs
+++ b/crates/cornelwinch_bench/src/run.rs
@@ -11,9 +11,6 @@
 use crate::schedule::{Arrival, arrivals};
 use crate::tally::{Fate, Tally};
 
-/// Delay of a start from which the generator itself counts as late; a sleep
-/// ends up to about 1 ms late on a busy machine.
-const LATE_START: Duration = Duration::from_millis(2);
 /// Stack of a load thread; there can be hundreds.
 const STACK_BYTES: usize = 256 * 1024;
 
@@ -146,7 +143,7 @@
         // A request that is late beyond any use is dropped, so that a run
         // under overload ends.
         if planned.elapsed() > Duration::from_millis(item.deadline_ms) + GRACE {
-            tally.late_starts += 1;
+            tally.record_start(planned.elapsed());
             return (request, Fate::NotSent);
         }
         if item.tickets {
@@ -162,9 +159,7 @@
         }
         let wait = planned.saturating_duration_since(Instant::now());
         thread::sleep(wait);
-        if planned.elapsed() > LATE_START {
-            tally.late_starts += 1;
-        }
+        tally.record_start(planned.elapsed());
         let fate = match caller.send(&request) {
             Ok(answer) => Fate::Answered(Box::new(answer)),
             Err(error) => Fate::NoAnswer(error),
@@ -198,6 +193,7 @@
         .collect();
     let seconds = total.seconds().to_vec();
     let late_starts = total.late_starts;
+    let start_delay = total.start_delay();
     let wrong = total.wrong_count;
     let wrong_messages = std::mem::take(&mut total.wrong);
     let total = total.report("all", "all");
@@ -207,6 +203,7 @@
         done_per_s: total.outcomes.done as f64 / planned_s,
         elapsed_s: elapsed.as_secs_f64(),
         late_starts,
+        start_delay,
         wrong,
         wrong_messages,
         total,
--- a/crates/cornelwinch_bench/src/tally.rs
+++ b/crates/cornelwinch_bench/src/tally.rs
@@ -10,6 +10,9 @@
 const HIGHEST_US: u64 = 600_000_000;
 /// Significant decimal digits of a histogram.
 const DIGITS: u8 = 3;
+/// Delay of a start from which it counts as late; a sleep ends up to about 1 ms
+/// late on a busy machine.
+const LATE_START: Duration = Duration::from_millis(2);
 /// Error texts and verifier messages kept.
 const MESSAGES: usize = 10;
 /// An answer counts as complete from this coverage on.
@@ -36,6 +39,8 @@
     hedges: u64,
     errors: Vec<(String, u64)>,
     seconds: Vec<SecondReport>,
+    /// Time from planned to real start.
+    starts: Histogram<u64>,
     pub(crate) late_starts: u64,
     pub(crate) wrong: Vec<String>,
     pub(crate) wrong_count: u64,
@@ -56,6 +61,7 @@
             hedges: 0,
             errors: Vec::new(),
             seconds: Vec::new(),
+            starts: histogram(),
             late_starts: 0,
             wrong: Vec::new(),
             wrong_count: 0,
@@ -108,6 +114,19 @@
         }
     }
 
+    /// Records that a request starts this long after its planned time.
+    pub(crate) fn record_start(&mut self, delay: Duration) {
+        let micros = u64::try_from(delay.as_micros()).unwrap_or(u64::MAX);
+        self.starts.saturating_record(micros);
+        if delay > LATE_START {
+            self.late_starts += 1;
+        }
+    }
+
+    pub(crate) fn start_delay(&self) -> Quantiles {
+        Quantiles::of(&self.starts)
+    }
+
     fn count_error(&mut self, error: &str, count: u64) {
         if let Some(row) = self.errors.iter_mut().find(|row| row.0 == error) {
             row.1 += count;
@@ -126,6 +145,7 @@
     pub(crate) fn merge(&mut self, other: Self) {
         self.done += other.done;
         self.other += other.other;
+        self.starts += other.starts;
         self.outcomes.add(&other.outcomes);
         self.coverage_sum += other.coverage_sum;
         self.coverage_lowest = self.coverage_lowest.min(other.coverage_lowest);
--- a/crates/cornelwinch_bench/tests/open_loop.rs
+++ b/crates/cornelwinch_bench/tests/open_loop.rs
@@ -97,4 +97,5 @@
     let report = run(&cfg).unwrap();
     assert!(report.total.latency.p50_us >= 190_000, "{report}");
     assert!(report.late_starts >= report.total.offered - 1, "{report}");
+    assert_eq!(report.start_delay.count, report.total.offered);
 }
