Send answers of the HTTP backend without Nagle's delay

Cause: an answer above 1 KB is several writes on the loopback connection between tiny_http and the relay; the second write waited for the delayed acknowledgement of the first. Ruled out: queues at the upstreams (the median was the same with 2, 3 and 4 slots), the hop through the owner (the same without it), the calls to upstreams (their answers are below 1 KB and ureq sets TCP_NODELAY). Change: TCP_NODELAY on the backend's listener, inherited by its connections.

--- a/crates/cornelwinch_http/src/pool.rs
+++ b/crates/cornelwinch_http/src/pool.rs
@@ -79,7 +79,7 @@
     /// Fails when the loopback listener or a thread cannot be started.
     pub fn open(workers: usize) -> Result<Arc<Self>, HttpError> {
         let workers = workers.max(1);
-        let tiny = tiny_http::Server::http((Ipv4Addr::LOCALHOST, 0)).map_err(|error| {
+        let tiny = tiny_http::Server::from_listener(open_backend()?, None).map_err(|error| {
             HttpError::Backend {
                 message: error.to_string(),
             }
@@ -160,6 +160,18 @@
     }
 }
 
+/// Opens the loopback listener of `tiny_http`. On Linux its connections inherit
+/// `TCP_NODELAY`; without it an answer of more than one write waits up to 40 ms
+/// for the delayed acknowledgement of the first.
+fn open_backend() -> Result<TcpListener, HttpError> {
+    let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let listener = TcpListener::bind(addr).context(BindSnafu { addr })?;
+    socket2::SockRef::from(&listener)
+        .set_tcp_nodelay(true)
+        .context(BindSnafu { addr })?;
+    Ok(listener)
+}
+
 impl Drop for HttpPool {
     fn drop(&mut self) {
         self.closed.store(true, Ordering::Release);
