Confirm suspicions before a death and compare whole tables

Cause: at 10 % loss, hosts that missed a refutation declared live hosts dead (11 deaths in 50 node hours at 50 hosts, 7 in 63 at 376); with 21 zones, a cold boot of 420 hosts took 56 s until all tables were equal, because each datagram named one zone in turn; joining hosts pulled the table from the seed. Ruled out: more transmissions of each update (cost grows for every update, and the chance of a miss only falls exponentially with them). Change: the accuser probes the suspect until the end; other hosts that still hold the suspicion after one more period probe before they declare a death. Datagrams carry a digest of the whole table; a joining host pulls from random hosts.

--- /dev/null
+++ b/crates/cornelwinch_membership/examples/swim_cost.rs
@@ -0,0 +1,203 @@
+//! Cost, detection time and false suspicions of the membership protocol, on a
+//! simulated network.
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{Net, is_change};
+use cornelwinch_types::MemberState;
+
+/// Bytes of IPv4 and UDP headers.
+const HEADERS: u64 = 28;
+
+/// Restarts in the whole deployment of the design scale.
+const RESTARTS_PER_S: f64 = 0.18;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn zones(sizes: &[usize]) -> Vec<&'static str> {
+    const NAMES: [&str; 21] = [
+        "zone-a", "zone-b", "zone-c", "zone-d", "zone-e", "zone-f", "zone-g", "zone-h", "zone-i",
+        "zone-j", "zone-k", "zone-l", "zone-m", "zone-n", "zone-o", "zone-p", "zone-q", "zone-r",
+        "zone-s", "zone-t", "zone-u",
+    ];
+    sizes
+        .iter()
+        .enumerate()
+        .flat_map(|(i, size)| std::iter::repeat_n(NAMES[i], *size))
+        .collect()
+}
+
+fn bytes(net: &Net) -> Vec<u64> {
+    net.nodes
+        .iter()
+        .map(|node| node.bytes + HEADERS * node.datagrams)
+        .collect()
+}
+
+/// Bytes sent by each node, with and without restarts, and time of a core.
+fn cost(sizes: &[usize], restarts: f64, time: Duration) {
+    let mut net = Net::settled(1, &zones(sizes));
+    net.run(30 * SECOND);
+    let (before, started) = (bytes(&net), Instant::now());
+    let datagrams: u64 = net.nodes.iter().map(|node| node.datagrams).sum();
+    let end = net.now + time;
+    let mut pending: Vec<(Instant, usize)> = Vec::new();
+    while net.now < end {
+        net.run(SECOND);
+        if net.rng.f64() < restarts {
+            let i = net.rng.usize(1..net.nodes.len());
+            net.stop(i);
+            pending.push((net.now + 5 * SECOND, i));
+        }
+        while let Some(at) = pending.iter().position(|(at, _)| *at <= net.now) {
+            let (_, i) = pending.swap_remove(at);
+            net.start(i);
+        }
+    }
+    let nodes = net.nodes.len();
+    let datagrams = net.nodes.iter().map(|node| node.datagrams).sum::<u64>() - datagrams;
+    let sent: Vec<u64> = bytes(&net)
+        .iter()
+        .zip(&before)
+        .map(|(after, before)| after - before)
+        .collect();
+    let seconds = time.as_secs_f64();
+    let label = format!("{} zones of {}", sizes.len(), sizes[0]);
+    println!(
+        "{label:<18} {restarts:>8.2} {:>10.1} {:>10.0} {:>10.0} {:>9.4}",
+        datagrams as f64 / nodes as f64 / seconds,
+        sent.iter().sum::<u64>() as f64 / nodes as f64 / seconds,
+        *sent.iter().max().unwrap_or(&0) as f64 / seconds,
+        started.elapsed().as_secs_f64() / nodes as f64 / seconds * 100.0,
+    );
+}
+
+fn losses(hosts: usize, loss: f64, time: Duration) {
+    let mut net = Net::settled(2, &zones(&[hosts]));
+    net.loss = loss;
+    let since = net.now;
+    net.run(time);
+    let suspicions: u64 = net
+        .nodes
+        .iter()
+        .filter_map(|node| node.membership.as_ref())
+        .map(|m| m.counters().suspicions)
+        .sum();
+    let deaths: u64 = net
+        .nodes
+        .iter()
+        .filter_map(|node| node.membership.as_ref())
+        .map(|m| m.counters().deaths)
+        .sum();
+    let node_hours = hosts as f64 * (net.now - since).as_secs_f64() / 3_600.0;
+    println!(
+        "{hosts:>6} {:>6.0} % {node_hours:>10.1} {suspicions:>12} {:>12.2} {deaths:>8}",
+        loss * 100.0,
+        suspicions as f64 / node_hours,
+    );
+}
+
+fn quantiles(label: &str, mut times: Vec<f64>) {
+    times.sort_unstable_by(f64::total_cmp);
+    let at = |q: f64| times[((times.len() - 1) as f64 * q) as usize];
+    println!(
+        "{label:<44} {:>5} {:>8.2} {:>8.2} {:>8.2} s",
+        times.len(),
+        at(0.5),
+        at(0.99),
+        at(1.0)
+    );
+}
+
+/// Time from a crash or a leave until the first and until every host knows.
+fn spread(sizes: &[usize], loss: f64, leaves: bool, rounds: u64) {
+    let (mut first, mut own, mut all) = (Vec::new(), Vec::new(), Vec::new());
+    for seed in 0..rounds {
+        let mut net = Net::settled(seed, &zones(sizes));
+        net.loss = loss;
+        net.run(Duration::from_millis(seed * 37 % 1_000));
+        let (since, i) = (net.now, sizes[0] - 1);
+        let state = if leaves {
+            MemberState::Leaving
+        } else {
+            MemberState::Dead
+        };
+        if leaves {
+            net.turn(i, cornelwinch_membership::Membership::leave);
+        } else {
+            net.stop(i);
+        }
+        net.run(40 * SECOND);
+        let name = net.nodes[i].member.name.clone();
+        let logged = net.logged(since, i, |action| is_change(action, &name, state));
+        let mut times = vec![f64::INFINITY; net.nodes.len()];
+        for (by, at) in logged {
+            times[by] = times[by].min((at - since).as_secs_f64());
+        }
+        times[i] = 0.0;
+        let others = || {
+            times
+                .iter()
+                .enumerate()
+                .filter(|(by, _)| *by != i)
+                .map(|(_, time)| *time)
+        };
+        first.push(others().fold(f64::INFINITY, f64::min));
+        own.push(others().take(sizes[0] - 1).fold(0.0, f64::max));
+        all.push(others().fold(0.0, f64::max));
+    }
+    let kind = if leaves { "leave" } else { "crash" };
+    let label = format!(
+        "{kind}, {} zones of {}, {:.0} % loss",
+        sizes.len(),
+        sizes[0],
+        loss * 100.0
+    );
+    quantiles(&format!("{label}: first"), first);
+    quantiles(&format!("{label}: own zone"), own);
+    quantiles(&format!("{label}: all"), all);
+}
+
+fn main() {
+    println!("bytes sent per node and second, {HEADERS} bytes of IP and UDP headers included");
+    println!(
+        "{:<18} {:>8} {:>10} {:>10} {:>10} {:>9}",
+        "deployment", "restarts", "datagrams", "mean", "highest", "core %"
+    );
+    for size in [5, 50, 376] {
+        cost(&[size], 0.0, 120 * SECOND);
+        cost(&[size], RESTARTS_PER_S, 120 * SECOND);
+    }
+    cost(&[2, 1, 1], 0.0, 120 * SECOND);
+    cost(&[4; 21], 0.0, 120 * SECOND);
+    cost(&[4; 21], RESTARTS_PER_S, 120 * SECOND);
+    cost(&[376; 3], RESTARTS_PER_S, 120 * SECOND);
+
+    println!("\nfalse suspicions by loss");
+    println!(
+        "{:>6} {:>8} {:>10} {:>12} {:>12} {:>8}",
+        "hosts", "loss", "node hours", "suspicions", "per node h", "deaths"
+    );
+    for loss in [0.01, 0.1] {
+        losses(2, loss, 36_000 * SECOND);
+        losses(5, loss, 36_000 * SECOND);
+        losses(50, loss, 3_600 * SECOND);
+        losses(376, loss, 300 * SECOND);
+    }
+
+    println!(
+        "\n{:<44} {:>5} {:>8} {:>8} {:>8}",
+        "time until a change is known", "runs", "median", "p99", "highest"
+    );
+    for loss in [0.0, 0.1] {
+        spread(&[5], loss, false, 100);
+        spread(&[50], loss, false, 50);
+        spread(&[376], loss, false, 10);
+        spread(&[20; 21], loss, false, 10);
+        spread(&[376], loss, true, 10);
+        spread(&[20; 21], loss, true, 10);
+    }
+}
--- a/crates/cornelwinch_membership/src/exchange.rs
+++ b/crates/cornelwinch_membership/src/exchange.rs
@@ -4,6 +4,7 @@
 use cornelwinch_types::{Incarnation, Member, MemberState, Name};
 
 use crate::codec::{Body, Encoder, Frame, MAX_DATAGRAM, Record, decode};
+use crate::sync::TABLE_ID;
 use crate::zone::DELEGATES;
 use crate::{Membership, MembershipAction};
 
@@ -67,6 +68,9 @@
                 self.on_ping_req(now, from, &frame.from, *number, target, *addr, out);
             }
             Body::IndirectAck(number) => self.on_indirect_ack(*number),
+            Body::Gossip if version != self.version => {
+                self.send(now, from, sender, Body::Gossip, &[], out);
+            }
             Body::Gossip => {}
             Body::Who => {
                 let own = self.own_record();
@@ -182,6 +186,7 @@
         let is_page = matches!(body, Body::Page(_));
         let digests = match body {
             Body::Ping(_) | Body::Ack(_) => self.digests(!records.is_empty()),
+            Body::Page(TABLE_ID) => self.digests(true),
             _ => Vec::new(),
         };
         let zones = if is_local {
--- a/crates/cornelwinch_membership/src/lib.rs
+++ b/crates/cornelwinch_membership/src/lib.rs
@@ -13,6 +13,7 @@
 mod queue;
 mod reach;
 mod replay;
+mod suspicion;
 mod sync;
 mod table;
 mod zone;
--- a/crates/cornelwinch_membership/src/membership.rs
+++ b/crates/cornelwinch_membership/src/membership.rs
@@ -8,6 +8,7 @@
 use crate::codec::Record;
 use crate::probe::{Probe, Relay};
 use crate::queue::UpdateQueue;
+use crate::suspicion::Suspicion;
 use crate::sync::{EAGER_SYNC, PendingPull};
 use crate::table::Table;
 use crate::zone::Reach;
@@ -57,8 +58,8 @@
     pub(crate) number: u64,
     pub(crate) probes: Vec<Probe>,
     pub(crate) relays: VecDeque<Relay>,
-    /// Suspect hosts of the own zone and when they are declared dead.
-    pub(crate) suspects: Vec<(Instant, Name)>,
+    /// Suspect hosts of the own zone.
+    pub(crate) suspects: Vec<Suspicion>,
     /// Dead hosts and when they are forgotten, the earliest first.
     pub(crate) graves: VecDeque<(Instant, Name)>,
     /// Updates for the own zone.
@@ -67,12 +68,12 @@
     pub(crate) remote: UpdateQueue,
     pub(crate) pulls: Vec<PendingPull>,
     pub(crate) eager_until: Instant,
+    pub(crate) joining_until: Instant,
     /// Addresses from settings and the platform's list, without the own one.
     pub(crate) candidates: Vec<SocketAddr>,
     /// The platform's last list: name and leaving mark, by name.
     pub(crate) listed: Vec<(Name, bool)>,
     pub(crate) zone_cursor: usize,
-    pub(crate) digest_cursor: usize,
     pub(crate) periods: u64,
     pub(crate) next_period: Instant,
     pub(crate) next_gossip: Instant,
@@ -134,9 +135,9 @@
             remote: UpdateQueue::default(),
             pulls: Vec::new(),
             eager_until: now + EAGER_SYNC,
+            joining_until: now + EAGER_SYNC,
             listed: Vec::new(),
             zone_cursor: rng.usize(..1 << 16),
-            digest_cursor: rng.usize(..1 << 16),
             periods: 0,
             last_turn: now,
             left: false,
@@ -193,7 +194,7 @@
         let mut next = self.next_period;
         let mut consider = |at: Option<Instant>| next = at.map_or(next, |at| next.min(at));
         consider(self.probes.iter().map(|probe| probe.due).min());
-        consider(self.suspects.iter().map(|(due, _)| *due).min());
+        consider(self.suspects.iter().map(|suspicion| suspicion.due).min());
         consider(
             self.table
                 .zones()
@@ -210,10 +211,7 @@
     pub fn on_wake(&mut self, now: Instant, out: &mut Vec<MembershipAction>) {
         self.turn(now, out);
         self.expire_probes(now, out);
-        while let Some(at) = self.suspects.iter().position(|(due, _)| *due <= now) {
-            let (_, name) = self.suspects.swap_remove(at);
-            self.declare_dead(now, &name, out);
-        }
+        self.expire_suspicions(now, out);
         self.expire_zones(now, out);
         while self.graves.front().is_some_and(|(due, _)| *due <= now) {
             if let Some((_, name)) = self.graves.pop_front() {
@@ -246,7 +244,9 @@
         if late > self.cfg.probe_timeout {
             self.probes.clear();
             self.relays.clear();
-            self.suspects.iter_mut().for_each(|(due, _)| *due += late);
+            self.suspects
+                .iter_mut()
+                .for_each(|suspicion| suspicion.due += late);
             let zones = self.table.zones_mut().iter_mut();
             zones
                 .filter_map(|zone| zone.deadline.as_mut())
@@ -356,12 +356,11 @@
             return false;
         };
         let member = &record.member;
-        self.suspects.retain(|(_, name)| *name != member.name);
+        self.suspects
+            .retain(|suspicion| suspicion.name != member.name);
         self.graves.retain(|(_, name)| *name != member.name);
         match member.state {
-            MemberState::Suspect => self
-                .suspects
-                .push((now + self.cfg.suspicion, member.name.clone())),
+            MemberState::Suspect => self.start_suspicion(now, &member.name),
             MemberState::Dead => self
                 .graves
                 .push_back((now + self.cfg.forget, member.name.clone())),
--- a/crates/cornelwinch_membership/src/probe.rs
+++ b/crates/cornelwinch_membership/src/probe.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
-use cornelwinch_types::{MemberState, Name};
+use cornelwinch_types::Name;
 
 use crate::codec::Body;
 use crate::{Membership, MembershipAction};
@@ -48,6 +48,7 @@
         if let Some(target) = self.random_peers(1, None).pop() {
             self.start_probe(now, target, None, out);
         }
+        self.probe_suspects(now, out);
         if self.is_delegate() {
             self.probe_zones(now, out);
         }
@@ -134,43 +135,6 @@
         }
     }
 
-    fn on_miss(&mut self, now: Instant, target: &Name, out: &mut Vec<MembershipAction>) {
-        let Some(mut record) = self.table.record(target) else {
-            return;
-        };
-        match record.member.state {
-            MemberState::Alive => {
-                self.counters.suspicions += 1;
-                record.member.state = MemberState::Suspect;
-                self.commit(now, &record, true, out);
-                // The suspect hears of it first, so that it can refute in time.
-                self.send_to(now, target, Body::Gossip, out);
-            }
-            MemberState::Leaving => self.declare_dead(now, target, out),
-            MemberState::Suspect | MemberState::Dead => {}
-        }
-    }
-
-    pub(crate) fn declare_dead(
-        &mut self,
-        now: Instant,
-        name: &Name,
-        out: &mut Vec<MembershipAction>,
-    ) {
-        let Some(mut record) = self.table.record(name) else {
-            return;
-        };
-        assert_eq!(
-            record.member.zone, self.me.zone,
-            "name={name} of another zone declared dead"
-        );
-        assert_ne!(record.member.name, self.me.name, "own host declared dead");
-        record.member.state = MemberState::Dead;
-        if self.commit(now, &record, true, out) {
-            self.counters.deaths += 1;
-        }
-    }
-
     pub(crate) fn on_ack(
         &mut self,
         now: Instant,
--- a/crates/cornelwinch_membership/src/sync.rs
+++ b/crates/cornelwinch_membership/src/sync.rs
@@ -4,7 +4,7 @@
 use cornelwinch_types::Name;
 
 use crate::codec::{Body, Record};
-use crate::zone::{BUCKETS, Zone, bucket};
+use crate::zone::{BUCKETS, bucket};
 use crate::{Membership, MembershipAction};
 
 /// Time after the start, a pause or the return of a zone in which differing
@@ -18,6 +18,9 @@
 /// Time after which a request for records counts as lost.
 const PULL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Stands for the whole table in place of a zone's hash.
+pub(crate) const TABLE_ID: u32 = 0;
+
 /// Most digests in one datagram.
 const DIGEST_LIMIT: usize = 60;
 
@@ -29,9 +32,9 @@
 }
 
 impl Membership {
-    /// Digests for a datagram: of every zone for a host that joins, else of the
-    /// own zone, of the one that changed last, and of one in turn.
-    pub(crate) fn digests(&mut self, every: bool) -> Vec<(u32, u32)> {
+    /// Digests for a datagram: of every zone if asked for, else of the own zone,
+    /// of the zone that changed last, and of the whole table.
+    pub(crate) fn digests(&self, every: bool) -> Vec<(u32, u32)> {
         let zones = self.table.zones();
         if every {
             return zones
@@ -40,23 +43,18 @@
                 .map(|zone| (zone.id, zone.digest()))
                 .collect();
         }
-        self.digest_cursor = (self.digest_cursor + 1) % zones.len();
         let own = zones.iter().position(|zone| zone.name == self.me.zone);
         let latest = (0..zones.len()).max_by_key(|at| zones[*at].changed_at);
-        let mut picks: Vec<usize> = own
-            .into_iter()
-            .chain(latest)
-            .chain([self.digest_cursor])
-            .collect();
-        picks.sort_unstable();
+        let mut picks: Vec<usize> = own.into_iter().chain(latest).collect();
         picks.dedup();
-        picks
+        let named = picks
             .into_iter()
-            .map(|at| (zones[at].id, zones[at].digest()))
-            .collect()
+            .map(|at| (zones[at].id, zones[at].digest()));
+        named.chain([(TABLE_ID, self.table.digest())]).collect()
     }
 
-    /// Asks for the records of zones whose digest differs.
+    /// Asks for the records of zones whose digest differs, or for the digests
+    /// of all zones if that of the table does.
     pub(crate) fn on_digests(
         &mut self,
         now: Instant,
@@ -67,8 +65,13 @@
     ) {
         for &(id, digest) in digests {
             let zone = self.table.zone_by_id(id).map(|at| &self.table.zones()[at]);
-            let differs = digest != zone.map_or(0, Zone::digest);
-            let quiet = zone.is_none_or(|zone| now >= zone.changed_at + QUIET);
+            let (held, changed_at) = match zone {
+                Some(zone) => (zone.digest(), Some(zone.changed_at)),
+                None if id == TABLE_ID => (self.table.digest(), self.table.changed_at()),
+                None => (0, None),
+            };
+            let quiet = changed_at.is_none_or(|at| now >= at + QUIET);
+            let differs = digest != held;
             if differs && (quiet || now < self.eager_until) {
                 self.pull(now, from, sender, id, out);
             }
@@ -142,8 +145,19 @@
         out: &mut Vec<MembershipAction>,
     ) {
         self.pulls.retain(|pull| pull.zone != id);
-        if news {
-            self.pull(now, from, sender, id, out);
+        if !news {
+            return;
+        }
+        // A host that joins asks other hosts in turn, because many hosts join
+        // by way of the same few seeds.
+        let other = if now < self.joining_until {
+            self.random_peers(1, None).pop()
+        } else {
+            None
+        };
+        match other.and_then(|other| Some((self.table.get(&other)?.gossip, other))) {
+            Some((addr, other)) => self.pull(now, addr, &other, id, out),
+            None => self.pull(now, from, sender, id, out),
         }
     }
 }
--- a/crates/cornelwinch_membership/src/table.rs
+++ b/crates/cornelwinch_membership/src/table.rs
@@ -78,6 +78,18 @@
         })
     }
 
+    /// Digest of all zones.
+    pub(crate) fn digest(&self) -> u32 {
+        self.zones
+            .iter()
+            .fold(0, |digest, zone| digest ^ zone.digest())
+    }
+
+    /// Last change of the digest.
+    pub(crate) fn changed_at(&self) -> Option<Instant> {
+        self.zones.iter().map(|zone| zone.changed_at).max()
+    }
+
     pub(crate) fn has_address(&self, addr: SocketAddr) -> bool {
         self.addresses.binary_search(&addr).is_ok()
     }
--- a/crates/cornelwinch_membership/src/zone.rs
+++ b/crates/cornelwinch_membership/src/zone.rs
@@ -128,9 +128,9 @@
     }
 }
 
-/// Hash that stands for a zone in datagrams.
+/// Hash that stands for a zone in datagrams; 0 stands for the whole table.
 pub(crate) fn zone_id(name: &str) -> u32 {
-    xxh3_64(name.as_bytes()) as u32
+    (xxh3_64(name.as_bytes()) as u32).max(1)
 }
 
 /// Bucket of a host's name.
--- a/crates/cornelwinch_membership/tests/common/mod.rs
+++ b/crates/cornelwinch_membership/tests/common/mod.rs
@@ -240,11 +240,11 @@
     /// State of host `of` in the view of host `by`.
     pub fn state(&self, by: usize, of: usize) -> Option<MemberState> {
         let membership = self.nodes[by].membership.as_ref().expect("process runs");
-        membership
-            .members()
-            .iter()
-            .find(|member| member.name == self.nodes[of].member.name)
-            .map(|member| member.state)
+        let (members, name) = (membership.members(), &self.nodes[of].member.name);
+        let at = members
+            .binary_search_by(|member| member.name.cmp(name))
+            .ok()?;
+        Some(members[at].state)
     }
 
     /// Asserts that every running host sees exactly the running hosts as alive.
--- /dev/null
+++ b/crates/cornelwinch_membership/tests/process_pause.rs
@@ -0,0 +1,104 @@
+//! A process that was stopped does not trust its old view.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Net, iterations};
+use cornelwinch_membership::{Membership, MembershipAction};
+use cornelwinch_types::MemberState;
+
+const ZONES: [&str; 5] = ["a", "a", "a", "b", "c"];
+
+fn is_confirmed(net: &Net, i: usize) -> bool {
+    net.nodes[i]
+        .membership
+        .as_ref()
+        .is_some_and(Membership::is_confirmed)
+}
+
+/// Guards against a paused owner that resumes with full limits while another
+/// host has taken over, against one that stays unconfirmed, and against one
+/// that blames the pause on the others.
+#[test]
+fn long_pause_needs_confirmation() {
+    for seed in 0..iterations() {
+        let mut net = Net::settled(seed, &ZONES);
+        let i = net.rng.usize(..ZONES.len());
+        assert!(is_confirmed(&net, i), "seed={seed} i={i}");
+        net.pause(i);
+        let pause = Duration::from_millis(net.rng.u64(3_001..30_000));
+        net.run(pause);
+        let since = net.now;
+        net.nodes[i].side = 1;
+        net.resume(i);
+        assert!(!is_confirmed(&net, i), "seed={seed} i={i} pause={pause:?}");
+        net.run(Duration::from_millis(500));
+        assert!(
+            !is_confirmed(&net, i),
+            "confirmed by nobody, seed={seed} i={i} pause={pause:?}"
+        );
+        net.nodes[i].side = 0;
+        net.run(Duration::from_secs(12));
+        assert!(is_confirmed(&net, i), "seed={seed} i={i} pause={pause:?}");
+        net.check_complete(&format!("seed={seed} i={i} pause={pause:?}"));
+        let log = net.nodes[i].log.iter().filter(|(at, _)| *at >= since);
+        let blamed: Vec<_> = log
+            .filter(|(_, action)| matches!(action, MembershipAction::Changed(m) if m.state == MemberState::Dead))
+            .collect();
+        assert!(
+            blamed.is_empty(),
+            "seed={seed} i={i} pause={pause:?} {blamed:?}"
+        );
+    }
+}
+
+/// Guards against cold limits after a pause too short for a takeover.
+#[test]
+fn short_pause_changes_nothing() {
+    for seed in 0..iterations() {
+        let mut net = Net::settled(seed, &ZONES);
+        let i = net.rng.usize(..ZONES.len());
+        net.pause(i);
+        let pause = Duration::from_millis(net.rng.u64(..1_900));
+        net.run(pause);
+        net.resume(i);
+        assert!(is_confirmed(&net, i), "seed={seed} i={i} pause={pause:?}");
+        net.run(Duration::from_secs(5));
+        net.check_complete(&format!("seed={seed} i={i} pause={pause:?}"));
+    }
+}
+
+/// Guards against a lone host that waits for confirmation forever, and against
+/// one with unreachable seeds that takes itself for confirmed.
+#[test]
+fn first_host_depends_on_seeds() {
+    let mut net = Net::new(1, &["a", "a"]);
+    net.start(0);
+    assert!(is_confirmed(&net, 0));
+    net.start(1);
+    assert!(!is_confirmed(&net, 1));
+    net.run(Duration::from_secs(2));
+    assert!(is_confirmed(&net, 1));
+}
+
+/// Guards against an old process that acts beside the one that replaced it.
+#[test]
+fn replaced_process_is_never_confirmed() {
+    let mut net = Net::settled(1, &["a", "a", "a"]);
+    net.pause(1);
+    let old = net.nodes[1].membership.take();
+    net.nodes[1].membership = None;
+    net.start(1);
+    net.run(Duration::from_secs(5));
+    let new = std::mem::replace(&mut net.nodes[1].membership, old);
+    net.resume(1);
+    net.run(Duration::from_secs(5));
+    assert!(!is_confirmed(&net, 1));
+    let held = net.nodes[0]
+        .membership
+        .as_ref()
+        .and_then(|m| m.members().iter().find(|m| &*m.name == "a-1").cloned());
+    let newest = new.and_then(|new| new.members().iter().find(|m| &*m.name == "a-1").cloned());
+    assert_eq!(held.map(|m| m.incarnation), newest.map(|m| m.incarnation));
+}
