--- a/crates/cornelwinch_gather/src/dispatch.rs
+++ b/crates/cornelwinch_gather/src/dispatch.rs
@@ -19,6 +19,8 @@
 const HELD_POLL: Duration = Duration::from_millis(2);
 /// Time after which a hedge without a token is tried again.
 const HEDGE_POLL: Duration = Duration::from_millis(1);
+/// Time after which a leg looks again for a learned hedge delay.
+const HEDGE_LEARN: Duration = Duration::from_millis(5);
 /// Hedges of one attempt.
 const HEDGES_MAX: u32 = 2;
 /// Tokens that must be left for a second hedge of the same leg.
@@ -37,7 +39,8 @@
             return;
         }
         self.held_until = None;
-        for shard in 0..self.legs.len() {
+        let count = self.legs.len();
+        for shard in (self.first..count).chain(0..self.first) {
             let leg = &self.legs[shard];
             let due = leg.is_idle() && leg.retry_at.is_none_or(|at| now >= at);
             let hedge_due = !leg.live.is_empty() && leg.hedge_at.is_some_and(|at| now >= at);
@@ -107,7 +110,11 @@
         leg.started = true;
         leg.hedges = 0;
         leg.retry_at = None;
-        leg.hedge_at = stats.hedge_delay(now, &self.spec).map(|delay| now + delay);
+        leg.hedge_at = self
+            .spec
+            .policy
+            .hedge_quantile
+            .map(|_| now + stats.hedge_delay(now, &self.spec).unwrap_or(HEDGE_LEARN));
         self.send(now, shard, upstream, false, stats, out);
         Some(Admit::Run)
     }
@@ -120,11 +127,16 @@
         stats: &mut GatherStats,
         out: &mut Vec<GatherAction>,
     ) -> Admit {
+        let leg = &mut self.legs[shard];
         let Some(delay) = stats.hedge_delay(now, &self.spec) else {
-            self.legs[shard].hedge_at = None;
+            leg.hedge_at = Some(now + HEDGE_LEARN);
             return Admit::Run;
         };
-        let leg = &mut self.legs[shard];
+        let last = leg.live.iter().map(|live| live.sent).max();
+        if let Some(due) = last.map(|sent| sent + delay).filter(|due| *due > now) {
+            leg.hedge_at = Some(due);
+            return Admit::Run;
+        }
         leg.hedge_at = Some(now + HEDGE_POLL);
         let Some(i) = self.used.last() else {
             return Admit::Run;
@@ -193,7 +205,7 @@
             self.cancel_leg(now, shard, stats, out);
         }
         stats.counters.restarts += 1;
-        self.use_snapshot(i);
+        self.use_snapshot(i, stats);
         true
     }
 
--- a/crates/cornelwinch_gather/src/gather.rs
+++ b/crates/cornelwinch_gather/src/gather.rs
@@ -67,6 +67,9 @@
     pub(crate) used: Vec<usize>,
     /// One for each shard of the present snapshot.
     pub(crate) legs: Vec<Leg>,
+    /// Leg that starts first; it differs between queries so that a hanging
+    /// shard does not hold up the first legs of every new request.
+    pub(crate) first: usize,
     /// Next look at legs that wait for another attempt of the same request.
     pub(crate) held_until: Option<Instant>,
     partial_at: Option<Instant>,
@@ -98,6 +101,7 @@
             snapshots,
             used: Vec::new(),
             legs: Vec::new(),
+            first: 0,
             held_until: None,
             partial_at,
             ran: false,
@@ -110,7 +114,7 @@
         } else if now >= gather.spec.deadline {
             gather.refuse(AnswerReason::DeadlinePassed, out);
         } else if let Some(i) = choose_snapshot(now, &gather.snapshots, stats, |_| true) {
-            gather.use_snapshot(i);
+            gather.use_snapshot(i, stats);
             gather.step(now, stats, out);
         } else {
             gather.refuse(AnswerReason::NoSnapshot, out);
@@ -217,11 +221,12 @@
     }
 
     /// Makes the legs for a snapshot.
-    pub(crate) fn use_snapshot(&mut self, i: usize) {
+    pub(crate) fn use_snapshot(&mut self, i: usize, stats: &mut GatherStats) {
         self.used.push(i);
         self.legs.clear();
         self.legs
             .resize_with(self.snapshots[i].shards.len(), Leg::default);
+        self.first = stats.rng.usize(..self.legs.len());
         self.held_until = None;
     }
 
--- a/crates/cornelwinch_gather/src/latency.rs
+++ b/crates/cornelwinch_gather/src/latency.rs
@@ -3,7 +3,8 @@
 use cornelwinch_types::Name;
 use hdrhistogram::Histogram;
 
-/// Samples older than two windows no longer count.
+/// A window ends after this time if it has enough samples; the samples of the
+/// window before the last no longer count.
 const WINDOW: Duration = Duration::from_secs(10);
 /// Longest latency that is told apart, in microseconds.
 const MAX_MICROS: u64 = 60_000_000;
@@ -90,14 +91,11 @@
 
     fn rotate(&mut self, now: Instant) {
         let age = now.saturating_duration_since(self.rotated);
-        if age < WINDOW {
+        if age < WINDOW || self.current.len() < MIN_SAMPLES {
             return;
         }
         std::mem::swap(&mut self.current, &mut self.previous);
         self.current.reset();
-        if age >= 2 * WINDOW {
-            self.previous.reset();
-        }
         self.rotated = now;
         self.cache.clear();
     }
--- a/crates/cornelwinch_gather/src/quarantine.rs
+++ b/crates/cornelwinch_gather/src/quarantine.rs
@@ -13,12 +13,12 @@
     pub marks: usize,
     /// Largest number of requests whose losses are remembered.
     pub suspects: usize,
-    /// Sends a request that has not been answered lately to one upstream
-    /// first. Without it a request that crashes every upstream takes down as
-    /// many as it has legs.
-    pub canary: bool,
-    /// Time after which a canary without a result is joined by a second one.
-    pub canary_wait: Duration,
+    /// Legs that a request which was not answered lately starts before the
+    /// others; they start with the first answer. Both may crash their
+    /// upstreams, so more than two break the bound. 0 starts all legs at once: a
+    /// request that crashes every upstream then takes down as many as it has
+    /// legs.
+    pub canaries: usize,
     /// Largest number of different requests that one crash can break: the
     /// slots of an upstream. A disconnect that breaks more counts weakly.
     pub crash_requests: usize,
@@ -36,8 +36,7 @@
             ttl: Duration::from_secs(600),
             marks: 4096,
             suspects: 4096,
-            canary: true,
-            canary_wait: Duration::from_millis(100),
+            canaries: 2,
             crash_requests: 4,
             mass_upstreams: 3,
             settle: Duration::from_millis(50),
--- a/crates/cornelwinch_gather/src/stats.rs
+++ b/crates/cornelwinch_gather/src/stats.rs
@@ -13,7 +13,7 @@
 const HEDGE_DELAY_MIN: Duration = Duration::from_micros(500);
 /// Share of the hedge budget that the learned delay plans to spend; the rest
 /// pays for bursts.
-const HEDGE_PLAN: f64 = 0.9;
+const HEDGE_PLAN: f64 = 0.95;
 
 /// Settings of [`GatherStats`].
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/cornelwinch_gather/src/suspect.rs
+++ b/crates/cornelwinch_gather/src/suspect.rs
@@ -119,20 +119,8 @@
                 .count()
         };
         if track.losses.is_empty() {
-            if proven || !config.canary {
-                return Admit::Run;
-            }
-            // Two canaries at most: if both crash their upstreams, the request
-            // has taken down two.
-            let overdue =
-                |r: &Running| now.saturating_duration_since(r.started) >= config.canary_wait;
-            return match count(&|_| true) {
-                0 => Admit::Run,
-                1 if hedge || track.running.iter().any(|r| !r.abandoned && overdue(r)) => {
-                    Admit::Run
-                }
-                _ => Admit::Wait,
-            };
+            let open = proven || config.canaries == 0 || count(&|_| true) < config.canaries;
+            return if open { Admit::Run } else { Admit::Wait };
         }
         if track.is_condemned() {
             return Admit::Quarantined;
--- a/crates/cornelwinch_gather/src/upstream.rs
+++ b/crates/cornelwinch_gather/src/upstream.rs
@@ -19,7 +19,7 @@
 /// Cost of a refusal because of load, in outstanding legs.
 const SHED_COST: u32 = 8;
 /// Cost of another availability zone, in outstanding legs.
-const ZONE_COST: u32 = 4;
+const ZONE_COST: u32 = 1;
 
 /// What the host knows of one upstream.
 #[derive(Debug)]
