Name the seed in one place of the randomised tests

Cause: each assertion carried the seed by itself, which made most of them four lines long. Ruled out: printing the seed from a guard on unwinding (it would not be part of the failure message). Change: `for_seeds` runs a test for each seed and repeats a failure with its seed. No condition changes; the exchange count per bucket is now checked when the exchange is inserted. Conclusion: equal strictness, fewer lines.

--- a/crates/cornelwinch_limiter/tests/fake/mod.rs
+++ b/crates/cornelwinch_limiter/tests/fake/mod.rs
@@ -2,17 +2,32 @@
 #![allow(dead_code, unreachable_pub)]
 
 use std::collections::BTreeMap;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::time::{Duration, Instant};
 
 use cornelwinch_limiter::{Limiter, LimiterAction, LimiterConfig, Start};
 use cornelwinch_types::*;
 
+type Out = Vec<LimiterAction>;
+
 pub const MS: Duration = Duration::from_millis(1);
 /// Longest budget of a leg, shorter than the guard.
 pub const MAX_BUDGET_MS: u64 = 60;
 
-pub fn iterations() -> u64 {
-    std::env::var("CORNELWINCH_ITERATIONS").map_or(200, |s| s.parse().expect("a number"))
+/// Runs a test for each seed and names the seed of a failure.
+pub fn for_seeds<T>(run: impl Fn(u64) -> T) -> Vec<T> {
+    let count =
+        std::env::var("CORNELWINCH_ITERATIONS").map_or(200, |s| s.parse().expect("a number"));
+    let run = |seed| {
+        catch_unwind(AssertUnwindSafe(|| run(seed))).unwrap_or_else(|e| {
+            let text = e.downcast_ref::<String>().map(String::as_str);
+            panic!(
+                "seed {seed}: {}",
+                text.or(e.downcast_ref().copied()).unwrap_or("no text")
+            )
+        })
+    };
+    (0..count).map(run).collect()
 }
 
 pub fn leg(attempt: u64, body: &str, priority: u8, budget: Duration) -> LegRequest {
@@ -89,7 +104,6 @@
     pub restart: u64,
     pub down_until: Instant,
     pub shed_chance: f64,
-    pub failure: String,
     running: Vec<Running>,
     served: usize,
     events: BTreeMap<(Instant, u64), Event>,
@@ -107,7 +121,6 @@
         let mut world = Self {
             now,
             rng: fastrand::Rng::with_seed(seed),
-            failure: format!("seed {seed}, {cfg:?}"),
             owners: Vec::new(),
             restart: 1,
             down_until: now,
@@ -150,33 +163,23 @@
     }
 
     /// Calls the limiter of an owner and carries out its actions.
-    pub fn call(
-        &mut self,
-        i: usize,
-        f: impl FnOnce(&mut Limiter, Instant, &mut Vec<LimiterAction>),
-    ) {
+    pub fn call(&mut self, i: usize, f: impl FnOnce(&mut Limiter, Instant, &mut Out)) {
         let mut out = Vec::new();
         f(&mut self.owners[i].limiter, self.now, &mut out);
         for action in out {
             match action {
                 LimiterAction::Send(req) => {
                     let deadline = self.legs[&req.attempt].0;
-                    assert!(
-                        self.now < deadline,
-                        "sent after its deadline: {}",
-                        self.failure
-                    );
+                    assert!(self.now < deadline, "sent after its deadline");
                     let told = self.owners[i].told;
                     let (at, answers) = (self.hop(), self.rng.u8(..100) > 0);
-                    self.at(
-                        at,
-                        Event::Arrive(Running {
-                            owner: i,
-                            req,
-                            told,
-                            answers,
-                        }),
-                    );
+                    let leg = Running {
+                        owner: i,
+                        req,
+                        told,
+                        answers,
+                    };
+                    self.at(at, Event::Arrive(leg));
                 }
                 LimiterAction::Cancel { attempt } => {
                     let at = self.hop();
@@ -200,23 +203,21 @@
     fn on_reply(&mut self, attempt: AttemptId, result: &LegResult) {
         let leg = self.legs.get_mut(&attempt).expect("a submitted leg");
         leg.2 += 1;
-        assert_eq!(leg.2, 1, "second reply to {attempt}: {}", self.failure);
+        assert_eq!(leg.2, 1, "second reply to {attempt}");
         match result {
             LegResult::Answer(answer) => {
                 self.answered += 1;
-                assert_eq!(answer.attempt, attempt, "foreign answer: {}", self.failure);
-                assert_eq!(answer.hits[0].text, leg.1, "foreign rows: {}", self.failure);
+                assert_eq!(answer.attempt, attempt, "foreign answer");
+                assert_eq!(answer.hits[0].text, leg.1, "foreign rows");
             }
-            LegResult::Refused(_) => assert!(!leg.3, "a refused leg ran: {}", self.failure),
+            LegResult::Refused(_) => assert!(!leg.3, "a refused leg ran"),
             LegResult::Failed(_) => {}
         }
     }
 
     pub fn submit(&mut self, req: LegRequest) {
-        self.legs.insert(
-            req.attempt,
-            (self.now + req.budget, req.body.clone(), 0, false),
-        );
+        let facts = (self.now + req.budget, req.body.clone(), 0, false);
+        self.legs.insert(req.attempt, facts);
         self.call(self.current(), |l, now, out| {
             l.submit(now, req, "host-1".into(), out);
         });
@@ -227,28 +228,20 @@
         let end = self.now + by;
         loop {
             let event = self.events.first_key_value().map(|(k, _)| k.0);
-            let wakes = self
-                .owners
-                .iter()
-                .enumerate()
-                .filter(|(_, o)| !o.lost)
-                .filter_map(|(i, o)| {
-                    let wake = o.limiter.next_wake()?;
-                    Some((o.paused_until.map_or(wake, |t| wake.max(t)), i))
-                });
+            let owners = self.owners.iter().enumerate().filter(|(_, o)| !o.lost);
+            let wakes = owners.filter_map(|(i, o)| {
+                let wake = o.limiter.next_wake()?;
+                Some((o.paused_until.map_or(wake, |t| wake.max(t)), i))
+            });
             let wake = wakes.min();
             if let Some((at, i)) = wake
                 && at <= end
                 && event.is_none_or(|e| at < e)
             {
                 self.now = self.now.max(at);
-                self.call(i, cornelwinch_limiter::Limiter::on_wake);
+                self.call(i, Limiter::on_wake);
                 let next = self.owners[i].limiter.next_wake();
-                assert!(
-                    next.is_none_or(|t| t > self.now),
-                    "wake without effect: {}",
-                    self.failure
-                );
+                assert!(next.is_none_or(|t| t > self.now), "wake without effect");
             } else if event.is_some_and(|e| e <= end) {
                 let (key, event) = self.events.pop_first().expect("an event");
                 self.now = self.now.max(key.0);
@@ -287,19 +280,17 @@
                     self.at(until, Event::Result(i, attempt, result, signs));
                 } else if !self.owners[i].lost {
                     let broken = result == LegResult::Failed(LegFailure::Disconnected);
-                    let told = if broken {
-                        self.restart
-                    } else {
-                        signs.restart_id.unwrap_or(0)
-                    };
+                    let told = signs
+                        .restart_id
+                        .or(broken.then_some(self.restart))
+                        .unwrap_or(0);
                     self.owners[i].told = self.owners[i].told.max(told);
                     self.call(i, |l, now, out| l.finish(now, attempt, result, signs, out));
                 }
             }
             Event::Released(from, n) if !self.owners[from].lost => {
-                self.call(self.current(), |l, now, out| {
-                    l.on_handover_released(now, n, out);
-                });
+                let i = self.current();
+                self.call(i, |l, now, out| l.on_handover_released(now, n, out));
             }
             Event::Released(..) => {}
         }
@@ -315,32 +306,16 @@
             let refused = LegResult::Refused(Refusal::Unreachable);
             return self.send_result(&leg, refused, UpstreamSigns::default());
         }
-        let known = self
-            .running
-            .iter()
-            .filter(|r| !self.owners[r.owner].lost)
-            .count()
-            + 1;
+        let lost = |r: &&Running| self.owners[r.owner].lost;
+        let known = self.running.len() - self.running.iter().filter(lost).count() + 1;
         let all = self.running.len() + 1;
         self.most = self.most.max(known);
         let (slots, cold_limit) = (self.cfg.slots, self.cfg.cold_limit);
         let cold = self.served < self.cfg.warm_after;
-        assert!(
-            known <= slots,
-            "{known} legs on {slots} slots: {}",
-            self.failure
-        );
-        assert!(
-            all <= slots + cold_limit,
-            "{all} legs after a takeover: {}",
-            self.failure
-        );
+        assert!(known <= slots, "{known} legs on {slots} slots");
+        assert!(all <= slots + cold_limit, "{all} legs after a takeover");
         if cold && leg.told == self.restart && !self.owners[leg.owner].lost {
-            assert!(
-                known <= cold_limit,
-                "{known} legs in a cold start: {}",
-                self.failure
-            );
+            assert!(known <= cold_limit, "{known} legs in a cold start");
         }
         let capacity = if cold { cold_limit } else { slots };
         if known > capacity || self.rng.f64() < self.shed_chance {
@@ -376,11 +351,7 @@
         self.advance(time);
         self.owners[i].paused_until = None;
         self.call(i, |l, now, out| l.set_confirmed(now, false, out));
-        assert!(
-            self.owners[i].limiter.limit() <= self.cfg.cold_limit,
-            "{}",
-            self.failure
-        );
+        assert!(self.owners[i].limiter.limit() <= self.cfg.cold_limit);
         self.advance(5 * MS);
         self.call(i, |l, now, out| l.set_confirmed(now, true, out));
     }
@@ -435,7 +406,7 @@
         }
     }
 
-    pub fn call(&mut self, f: impl FnOnce(&mut Limiter, Instant, &mut Vec<LimiterAction>)) {
+    pub fn call(&mut self, f: impl FnOnce(&mut Limiter, Instant, &mut Out)) {
         let mut out = Vec::new();
         f(&mut self.limiter, self.now, &mut out);
         for action in out {
@@ -456,7 +427,7 @@
 
     pub fn wake_after(&mut self, time: Duration) {
         self.now += time;
-        self.call(cornelwinch_limiter::Limiter::on_wake);
+        self.call(Limiter::on_wake);
     }
 
     /// Gives the oldest sent leg a result, 1 ms later.
--- a/crates/cornelwinch_limiter/tests/slot_bound.rs
+++ b/crates/cornelwinch_limiter/tests/slot_bound.rs
@@ -7,7 +7,7 @@
 
 use cornelwinch_limiter::LimiterConfig;
 use cornelwinch_types::AttemptId;
-use fake::{MAX_BUDGET_MS, MS, World, iterations, leg};
+use fake::{MAX_BUDGET_MS, MS, World, for_seeds, leg};
 
 fn run(seed: u64, slots: usize) -> World {
     let mut rng = fastrand::Rng::with_seed(seed);
@@ -45,10 +45,10 @@
     }
     world.advance(Duration::from_secs(10));
     for (attempt, (_, _, replies, _)) in &world.legs {
-        assert_eq!(*replies, 1, "replies to {attempt}: {}", world.failure);
+        assert_eq!(*replies, 1, "replies to {attempt}");
     }
     for owner in &world.owners {
-        assert_eq!(owner.limiter.violations(), 0, "{}", world.failure);
+        assert_eq!(owner.limiter.violations(), 0);
     }
     world
 }
@@ -56,9 +56,7 @@
 #[test]
 fn concurrency_stays_within_slots() {
     for slots in 2..=4 {
-        let worlds = (0..iterations())
-            .map(|seed| run(seed, slots))
-            .collect::<Vec<_>>();
+        let worlds = for_seeds(|seed| run(seed, slots));
         let most = worlds.iter().map(|w| w.most).max();
         let answered: usize = worlds.iter().map(|w| w.answered).sum();
         let legs: usize = worlds.iter().map(|w| w.legs.len()).sum();
--- a/crates/cornelwinch_tickets/tests/at_most_once.rs
+++ b/crates/cornelwinch_tickets/tests/at_most_once.rs
@@ -1,6 +1,8 @@
 //! Guards against a ticket that runs twice, a request that runs although it
 //! was reported as not run, and results that change between resends.
 
+mod seeds;
+
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -8,6 +10,9 @@
     Begin, TicketAction, TicketConfig, TicketId, TicketResult, TicketRun, TicketRunSpec, Tickets,
 };
 use cornelwinch_types::*;
+use seeds::for_seeds;
+
+type Out = Vec<TicketAction>;
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -58,7 +63,6 @@
     /// Results on their way to the host.
     results: Vec<(Instant, TicketId, AttemptId, LegResult)>,
     facts: BTreeMap<TicketId, Facts>,
-    failure: String,
 }
 
 impl World {
@@ -66,7 +70,7 @@
         for action in out {
             match action {
                 TicketAction::Send(req) => {
-                    assert!(!req.idempotent && !req.budget.is_zero(), "{}", self.failure);
+                    assert!(!req.idempotent && !req.budget.is_zero());
                     let facts = self.facts.get_mut(id).expect("an issued ticket");
                     let refusals = [Refusal::Shed, Refusal::Unreachable, Refusal::Overloaded];
                     let result = match self.rng.u32(..10) {
@@ -76,12 +80,12 @@
                         _ => LegResult::Failed(LegFailure::TimedOut),
                     };
                     facts.runs += u32::from(!matches!(result, LegResult::Refused(_)));
-                    assert!(facts.runs <= 1, "{id} ran twice: {}", self.failure);
+                    assert!(facts.runs <= 1, "{id} ran twice");
                     let not_run = facts
                         .result
                         .as_ref()
                         .is_some_and(|r| r.outcome == Outcome::NotRun);
-                    assert!(!not_run, "{id} sent after not_run: {}", self.failure);
+                    assert!(!not_run, "{id} sent after not_run");
                     let at = self.now + self.rng.u32(1..40) * MS;
                     // Some results arrive twice.
                     for at in [at, at + 5 * MS].into_iter().take(self.rng.usize(1..=2)) {
@@ -93,7 +97,7 @@
                     let waiters = self.tickets.finish(self.now, id, result.clone()).len();
                     let waiting =
                         std::mem::take(&mut self.facts.get_mut(id).expect("facts").waiting);
-                    assert_eq!(waiters, waiting, "waiters of {id}: {}", self.failure);
+                    assert_eq!(waiters, waiting, "waiters of {id}");
                     self.report(id, &result);
                 }
             }
@@ -104,15 +108,10 @@
         let facts = self.facts.get_mut(id).expect("facts");
         if result.outcome != Outcome::Unknown {
             let ran = result.outcome == Outcome::Done;
-            assert_eq!(
-                facts.runs == 1,
-                ran,
-                "{id} reported {result:?}: {}",
-                self.failure
-            );
+            assert_eq!(facts.runs == 1, ran, "{id} reported {result:?}");
         }
         let first = facts.result.get_or_insert_with(|| result.clone());
-        assert_eq!(first, result, "second result of {id}: {}", self.failure);
+        assert_eq!(first, result, "second result of {id}");
     }
 
     fn request(&mut self, id: &TicketId) {
@@ -135,11 +134,7 @@
                     AttemptId(self.attempts)
                 };
                 let run = TicketRun::start(self.now, spec, next, &mut out);
-                assert!(
-                    self.now < deadline || !matches!(out[0], TicketAction::Send(_)),
-                    "{}",
-                    self.failure
-                );
+                assert!(self.now < deadline || !matches!(out[0], TicketAction::Send(_)));
                 self.runs.push((id.clone(), run));
                 self.carry_out(id, out);
             }
@@ -147,14 +142,13 @@
             Begin::Finished(result) => self.report(id, &result),
             Begin::Expired => self.report(id, &TicketResult::not_run("deadline_passed")),
             Begin::Unknown => {}
-            other => panic!("{other:?} for {id}: {}", self.failure),
+            other => panic!("{other:?} for {id}"),
         }
         let other = Fingerprint::of("stock", "three pallets");
         let begin = self.tickets.begin(self.now, id, other, 1, deadline);
         assert!(
             matches!(begin, Begin::Conflict | Begin::Unknown),
-            "{begin:?}: {}",
-            self.failure
+            "{begin:?}"
         );
     }
 
@@ -178,19 +172,11 @@
             .iter()
             .filter_map(|(_, run)| run.next_wake())
             .min();
-        assert!(
-            next.is_none_or(|t| t > self.now),
-            "wake without effect: {}",
-            self.failure
-        );
+        assert!(next.is_none_or(|t| t > self.now), "wake without effect");
         self.tickets.on_wake(self.now);
     }
 
-    fn step(
-        &mut self,
-        id: &TicketId,
-        f: impl FnOnce(&mut TicketRun, Instant, &mut Vec<TicketAction>),
-    ) {
+    fn step(&mut self, id: &TicketId, f: impl FnOnce(&mut TicketRun, Instant, &mut Out)) {
         let Some(i) = self.runs.iter().position(|(own, _)| own == id) else {
             return;
         };
@@ -217,7 +203,6 @@
         runs: Vec::new(),
         results: Vec::new(),
         facts: BTreeMap::new(),
-        failure: format!("seed {seed}, {cfg:?}"),
     };
     for _ in 0..200 {
         if world.rng.u8(..4) == 0 {
@@ -226,7 +211,7 @@
             world
                 .facts
                 .extend(ids.into_iter().map(|id| (id, Facts::default())));
-            assert!(world.tickets.len() <= cfg.capacity, "{}", world.failure);
+            assert!(world.tickets.len() <= cfg.capacity);
         }
         if world.rng.u8(..100) == 0 {
             // The process restarts; its runs and results are lost.
@@ -253,12 +238,7 @@
         .iter()
         .map(|(_, run)| run.violations())
         .sum::<u64>();
-    assert_eq!(
-        violations + world.tickets.violations(),
-        0,
-        "{}",
-        world.failure
-    );
+    assert_eq!(violations + world.tickets.violations(), 0);
     let outcomes = [Outcome::Done, Outcome::NotRun, Outcome::Unknown];
     outcomes.map(|o| {
         world
@@ -271,13 +251,8 @@
 
 #[test]
 fn tickets_run_at_most_once() {
-    let iterations =
-        std::env::var("CORNELWINCH_ITERATIONS").map_or(200, |s| s.parse().expect("a number"));
-    let mut totals = [0; 3];
-    for seed in 0..iterations {
-        let counts = run(seed);
-        totals = std::array::from_fn(|i| totals[i] + counts[i]);
-    }
+    let counts = for_seeds(run);
+    let totals = [0, 1, 2].map(|i| counts.iter().map(|c| c[i]).sum::<usize>());
     println!("done, not run, unknown: {totals:?}");
     assert!(
         totals.iter().all(|n| *n > 0),
--- a/crates/cornelwinch_tickets/tests/claimed_keys.rs
+++ b/crates/cornelwinch_tickets/tests/claimed_keys.rs
@@ -1,6 +1,8 @@
 //! Guards against a key that runs twice, on one host or on two, while platform
 //! writes conflict, are lost or are applied late, and hosts pause and restart.
 
+mod seeds;
+
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -8,6 +10,12 @@
     BucketReply, ClaimAction, ClaimBegin, ClaimBucket, ClaimConfig, Claims, TicketResult,
 };
 use cornelwinch_types::{Fingerprint, Incarnation, Member, MemberState, Name};
+use seeds::for_seeds;
+
+use ClaimAction::{Begin, Read, Write};
+use ClaimBegin::{Elsewhere, Finished, NotRun, Start};
+
+type Out = Vec<ClaimAction>;
 
 const MS: Duration = Duration::from_millis(1);
 const HOSTS: usize = 3;
@@ -35,7 +43,6 @@
     waiters: BTreeMap<u64, (u32, Instant)>,
     in_flight: BTreeMap<(usize, u64, u32), u32>,
     writes: u64,
-    failure: String,
 }
 
 fn body(key: &str) -> Fingerprint {
@@ -49,30 +56,21 @@
         self.events.insert((at, self.sequence), event);
     }
 
-    fn call(&mut self, host: usize, f: impl FnOnce(&mut Claims, Instant, &mut Vec<ClaimAction>)) {
+    fn call(&mut self, host: usize, f: impl FnOnce(&mut Claims, Instant, &mut Out)) {
         let mut out = Vec::new();
         f(&mut self.hosts[host], self.now, &mut out);
         for action in out {
             match action {
-                ClaimAction::Begin { waiter, key, begin } => {
+                Begin { waiter, key, begin } => {
                     self.on_begin(host, waiter, &key, begin);
                 }
-                ClaimAction::Read { bucket } | ClaimAction::Write { bucket, .. } => {
-                    let open = self
-                        .in_flight
-                        .entry((host, self.incarnations[host], bucket))
-                        .or_default();
-                    *open += 1;
-                    assert_eq!(
-                        *open, 1,
-                        "exchanges in flight on one bucket: {}",
-                        self.failure
-                    );
-                    self.writes += u64::from(matches!(action, ClaimAction::Write { .. }));
-                    self.at(
-                        8,
-                        Event::Exchange(host, self.incarnations[host], action, true),
-                    );
+                Read { bucket } | Write { bucket, .. } => {
+                    let incarnation = self.incarnations[host];
+                    let id = (host, incarnation, bucket);
+                    let open = self.in_flight.insert(id, 1);
+                    assert_eq!(open, None, "exchanges in flight on one bucket");
+                    self.writes += u64::from(matches!(action, Write { .. }));
+                    self.at(8, Event::Exchange(host, incarnation, action, true));
                 }
             }
         }
@@ -83,10 +81,10 @@
         let facts = self.keys.entry(key.clone()).or_default();
         *decisions += 1;
         match begin {
-            ClaimBegin::Start => {
+            Start => {
                 facts.0 += 1;
-                assert_eq!(facts.0, 1, "{key} started again: {}", self.failure);
-                assert!(*deadline > self.now, "started late: {}", self.failure);
+                assert_eq!(facts.0, 1, "{key} started again");
+                assert!(*deadline > self.now, "started late");
                 let result = match self.rng.u8(..2) {
                     0 => TicketResult::not_run("shed"),
                     _ => TicketResult::unknown("disconnected"),
@@ -95,23 +93,18 @@
                 let finish = Event::Finish(host, self.incarnations[host], key.clone(), result);
                 self.at(30, finish);
             }
-            ClaimBegin::Finished(result) => {
-                assert_eq!(
-                    facts.1.as_ref(),
-                    Some(&result),
-                    "result of {key}: {}",
-                    self.failure
-                );
+            Finished(result) => {
+                assert_eq!(facts.1.as_ref(), Some(&result), "result of {key}");
             }
-            ClaimBegin::Elsewhere(name) => {
+            Elsewhere(name) => {
                 *decisions -= 1;
                 let deadline = *deadline;
                 let to = name[5..].parse::<usize>().expect("a host");
-                assert_ne!(to, host, "forwarded to itself: {}", self.failure);
+                assert_ne!(to, host, "forwarded to itself");
                 self.at(3, Event::Forwarded(to, key.clone(), waiter, deadline));
             }
-            ClaimBegin::Conflict => panic!("conflict on {key}: {}", self.failure),
-            ClaimBegin::Joined | ClaimBegin::Unknown | ClaimBegin::NotRun(_) => {}
+            ClaimBegin::Conflict => panic!("conflict on {key}"),
+            ClaimBegin::Joined | ClaimBegin::Unknown | NotRun(_) => {}
         }
     }
 
@@ -145,19 +138,17 @@
         let away = self.now < self.away_until;
         let faulty = self.rng.u8(..10);
         let (bucket, reply) = match action {
-            ClaimAction::Read { bucket } => {
+            Read { bucket } => {
                 let (version, value) = self.objects.get(&bucket).cloned().unwrap_or_default();
                 let present = BucketReply::Present { version, value };
-                (
-                    bucket,
-                    if away {
-                        BucketReply::Unavailable
-                    } else {
-                        present
-                    },
-                )
+                let reply = if away {
+                    BucketReply::Unavailable
+                } else {
+                    present
+                };
+                (bucket, reply)
             }
-            ClaimAction::Write {
+            Write {
                 bucket,
                 version,
                 value,
@@ -168,7 +159,7 @@
                 } else if replies && (away || faulty == 0) {
                     // Lost; it may be applied later, or never.
                     if self.rng.bool() {
-                        let late = ClaimAction::Write {
+                        let late = Write {
                             bucket,
                             version,
                             value,
@@ -178,13 +169,11 @@
                     BucketReply::Lost
                 } else if own.0 == version {
                     self.objects.insert(bucket, (version + 1, value));
-                    let written = BucketReply::Written {
-                        version: version + 1,
-                    };
+                    let version = version + 1;
                     if faulty == 1 {
                         BucketReply::Lost
                     } else {
-                        written
+                        BucketReply::Written { version }
                     }
                 } else {
                     let (version, value) = own;
@@ -192,7 +181,7 @@
                 };
                 (bucket, reply)
             }
-            ClaimAction::Begin { .. } => return,
+            Begin { .. } => return,
         };
         if replies {
             self.at(8, Event::Reply(host, incarnation, bucket, reply));
@@ -208,13 +197,9 @@
         }
         self.now = end;
         for host in 0..HOSTS {
-            self.call(host, cornelwinch_tickets::Claims::on_wake);
+            self.call(host, Claims::on_wake);
             let next = self.hosts[host].next_wake();
-            assert!(
-                next.is_none_or(|t| t > self.now),
-                "wake without effect: {}",
-                self.failure
-            );
+            assert!(next.is_none_or(|t| t > self.now), "wake without effect");
         }
     }
 
@@ -267,7 +252,6 @@
         waiters: BTreeMap::new(),
         in_flight: BTreeMap::new(),
         writes: 0,
-        failure: format!("seed {seed}, {cfg:?}"),
     };
     (0..HOSTS).for_each(|host| world.restart(host));
     let restarts = world.rng.bool();
@@ -293,41 +277,22 @@
         world.advance(20 * MS);
     }
     for (waiter, (decisions, _)) in &world.waiters {
-        assert!(
-            *decisions >= 1,
-            "no decision for {waiter}: {}",
-            world.failure
-        );
-        assert!(
-            restarts || *decisions == 1,
-            "{decisions} for {waiter}: {}",
-            world.failure
-        );
+        assert!(*decisions >= 1, "no decision for {waiter}");
+        assert!(restarts || *decisions == 1, "{decisions} for {waiter}");
     }
-    assert!(
-        world.hosts.iter().all(|c| c.violations() == 0),
-        "{}",
-        world.failure
-    );
+    assert!(world.hosts.iter().all(|c| c.violations() == 0));
     let records = world.objects.values().flat_map(|(_, value)| &value.claims);
     let durable = records.filter(|r| r.result.is_some()).count();
     let results = world.keys.values().filter(|k| k.1.is_some()).count();
-    assert!(
-        restarts || durable == results,
-        "results lost: {}",
-        world.failure
-    );
+    assert!(restarts || durable == results, "results lost");
     let started = world.keys.values().filter(|k| k.0 == 1).count();
     (world.keys.len(), started, world.writes)
 }
 
 #[test]
 fn keys_run_at_most_once() {
-    let iterations =
-        std::env::var("CORNELWINCH_ITERATIONS").map_or(200, |s| s.parse().expect("a number"));
-    let totals = (0..iterations)
-        .map(run)
-        .fold((0, 0, 0), |a, b| (a.0 + b.0, a.1 + b.1, a.2 + b.2));
+    let counts = for_seeds(run).into_iter();
+    let totals = counts.fold((0, 0, 0), |a, b| (a.0 + b.0, a.1 + b.1, a.2 + b.2));
     println!("keys, started, writes: {totals:?}");
     assert!(totals.1 * 2 > totals.0, "few keys started: {totals:?}");
 }
@@ -345,14 +310,14 @@
         c.claim(now, &n.to_string(), body("same"), n, now + ms * MS, out);
     };
     claim(&mut claims, 0, now, 10, &mut out);
-    assert_eq!(out.pop(), Some(ClaimAction::Read { bucket: 0 }));
+    assert_eq!(out.pop(), Some(Read { bucket: 0 }));
     claims.on_reply(now, 0, BucketReply::Unavailable, &mut out);
     claim(&mut claims, 0, now, 10, &mut out);
     let refused = |a: &ClaimAction| {
         matches!(
             a,
-            ClaimAction::Begin {
-                begin: ClaimBegin::NotRun("platform_away"),
+            Begin {
+                begin: NotRun("platform_away"),
                 ..
             }
         )
@@ -371,60 +336,38 @@
     for n in 1..=100 {
         claim(&mut claims, n, now, 500, &mut out);
     }
-    let writes = |out: &[ClaimAction]| {
-        out.iter()
-            .filter(|a| matches!(a, ClaimAction::Write { .. }))
-            .count()
-    };
-    assert_eq!(writes(&out), 1);
+    let is_write = |a: &&ClaimAction| matches!(a, Write { .. });
+    let is_start = |a: &&ClaimAction| matches!(a, Begin { begin: Start, .. });
+    assert_eq!(out.iter().filter(is_write).count(), 1);
     // The first copy is out of time when its claim becomes durable.
     let now = now + 20 * MS;
     out.clear();
     claims.on_reply(now, 0, BucketReply::Written { version: 1 }, &mut out);
     // The value passes through programs that hold numbers as 64 bits.
-    let Some(ClaimAction::Write { value, .. }) = out.last() else {
+    let Some(Write { value, .. }) = out.last() else {
         panic!("no write: {out:?}");
     };
     let json = serde_json::to_value(value).expect("JSON");
-    assert_eq!(
-        serde_json::from_value::<ClaimBucket>(json).ok().as_ref(),
-        Some(value)
-    );
-    assert_eq!(writes(&out), 1);
-    assert!(out.iter().all(|a| !matches!(
-        a,
-        ClaimAction::Begin {
-            begin: ClaimBegin::Start,
-            ..
-        }
-    )));
+    let read: ClaimBucket = serde_json::from_value(json).expect("a bucket");
+    assert_eq!(read, *value);
+    assert_eq!(out.iter().filter(is_write).count(), 1);
+    assert_eq!(out.iter().filter(is_start).count(), 0, "late start");
     claims.on_reply(now, 0, BucketReply::Written { version: 2 }, &mut out);
-    assert_eq!(
-        out.iter()
-            .filter(|a| matches!(
-                a,
-                ClaimAction::Begin {
-                    begin: ClaimBegin::Start,
-                    ..
-                }
-            ))
-            .count(),
-        100
-    );
+    assert_eq!(out.iter().filter(is_start).count(), 100);
     out.clear();
     claims.claim(now, "7", body("other"), 7, now + MS, &mut out);
-    assert!(
+    let conflict = |a: &ClaimAction| {
         matches!(
-            &out[..],
-            [ClaimAction::Begin {
+            a,
+            Begin {
                 begin: ClaimBegin::Conflict,
                 ..
-            }]
-        ),
-        "{out:?}"
-    );
+            }
+        )
+    };
+    assert!(out.len() == 1 && conflict(&out[0]), "{out:?}");
     // A resend of the first copy starts only after a read: its record may have been dropped.
     out.clear();
     claim(&mut claims, 0, now, 500, &mut out);
-    assert_eq!(out, [ClaimAction::Read { bucket: 0 }]);
+    assert_eq!(out, [Read { bucket: 0 }]);
 }
