Let an upstream return that announced its leaving

Cause: an upstream that answered "draining" once was refused until the host marked it as leaving and as returned again, or until its restart was seen, which needs an answer; an upstream that returns unannounced would never get legs. Ruled out: sending a probe to a leaving upstream (that is new work for it); clearing the state by any report at once (the list lags by up to 10 s). Change: `Limiter::on_serving_report` ends the state when the upstream said it 10 s ago or longer; the upstream is cold then. Before the change the test could not pass: nothing but set_leaving ended the state.

--- a/crates/cornelwinch_limiter/src/limiter.rs
+++ b/crates/cornelwinch_limiter/src/limiter.rs
@@ -15,6 +15,9 @@
 /// An upstream that gave no answer for this long may have restarted unnoticed:
 /// it gets the cold limit until its next answer.
 const STALE_AFTER: Duration = Duration::from_millis(100);
+/// Time after an upstream said that it is leaving for which reports that it
+/// serves are ignored. The platform's list lags by up to 10 s.
+const LEAVING_HOLD: Duration = Duration::from_secs(10);
 
 /// The owner's state for one upstream: slots, queue, limit, circuit breaker.
 ///
@@ -68,7 +71,8 @@
     inherited_until: Option<Instant>,
     confirmed: bool,
     marked_leaving: bool,
-    pub(crate) said_leaving: bool,
+    /// When the upstream last said that it is leaving.
+    pub(crate) said_leaving: Option<Instant>,
     drained: bool,
     submitted: u64,
     replied: u64,
@@ -112,7 +116,7 @@
             inherited_until: (inherited > 0).then(|| now + cfg.guard),
             confirmed: true,
             marked_leaving: false,
-            said_leaving: false,
+            said_leaving: None,
             drained: false,
             submitted: 0,
             replied: 0,
@@ -289,7 +293,7 @@
     /// cold.
     pub fn set_leaving(&mut self, now: Instant, leaving: bool, out: &mut Vec<LimiterAction>) {
         if self.marked_leaving && !leaving {
-            self.said_leaving = false;
+            self.said_leaving = None;
             self.ramp.enter_cold();
         }
         self.marked_leaving = leaving;
@@ -297,6 +301,17 @@
         self.check(now);
     }
 
+    /// Takes a report of the health endpoint or of the platform's list that the
+    /// upstream serves. It ends a leaving state that the upstream itself
+    /// announced some time ago; otherwise an upstream that returns unannounced
+    /// would never get legs again.
+    pub fn on_serving_report(&mut self, now: Instant) {
+        let due = |t: &mut Instant| now.saturating_duration_since(*t) >= LEAVING_HOLD;
+        if self.said_leaving.take_if(due).is_some() {
+            self.ramp.enter_cold();
+        }
+    }
+
     /// Legs that may be in flight at present, legs of a previous owner included.
     pub fn limit(&self) -> usize {
         let limit = self.ramp.limit();
@@ -329,7 +344,7 @@
 
     /// Reports whether the upstream is marked as leaving or said so itself.
     pub fn is_leaving(&self) -> bool {
-        self.marked_leaving || self.said_leaving
+        self.marked_leaving || self.said_leaving.is_some()
     }
 
     /// Number of failed invariant checks, for a metric.
--- a/crates/cornelwinch_limiter/src/signs.rs
+++ b/crates/cornelwinch_limiter/src/signs.rs
@@ -24,13 +24,13 @@
         if signs.restart_id.is_some() && run == self.run && signs.restart_id != self.restart_id {
             if self.restart_id.is_some() {
                 self.run += 1;
-                self.said_leaving = false;
+                self.said_leaving = None;
                 self.ramp.enter_cold();
             }
             self.restart_id = signs.restart_id;
         }
         if signs.leaving {
-            self.said_leaving = true;
+            self.said_leaving = Some(now);
             self.refuse_leaving(out);
         }
     }
@@ -62,7 +62,7 @@
                 self.ramp.on_shed(now, leg.epoch);
             }
             LegResult::Refused(Refusal::Leaving) => {
-                self.said_leaving = true;
+                self.said_leaving = Some(now);
                 self.refuse_leaving(out);
             }
             LegResult::Refused(Refusal::Unreachable)
--- a/crates/cornelwinch_limiter/tests/queue_rules.rs
+++ b/crates/cornelwinch_limiter/tests/queue_rules.rs
@@ -162,6 +162,16 @@
     );
     answer_next(&mut desk);
     assert!(desk.sent.is_empty());
+    desk.call(|l, now, out| l.set_leaving(now, false, out));
+    // The upstream says that it is leaving; reports to the contrary lag.
+    desk.submit(4, "d", 0, 500);
+    desk.finish(LegResult::Refused(Refusal::Leaving), signs(1));
+    for (wait, sent) in [(9999 * MS, 0), (MS, 1)] {
+        desk.now += wait;
+        desk.limiter.on_serving_report(desk.now);
+        desk.submit(5, "e", 0, 500);
+        assert_eq!(desk.sent.len(), sent, "sent after {wait:?}");
+    }
 }
 
 #[test]
