Read configuration documents and check them before a write

Operators change several entries at once, and a half-written change leaves references open. Writing entries in the order of the file was ruled out: a correct file would fail on its order.

--- a/crates/cornelwinch_config/src/lib.rs
+++ b/crates/cornelwinch_config/src/lib.rs
@@ -1,5 +1,6 @@
 //! Settings files and versioned configuration entries of cornelwinch.
 
+mod document;
 mod entry;
 mod kind;
 mod reader;
@@ -7,6 +8,7 @@
 mod state;
 mod validate;
 
+pub use document::{Document, DocumentEntry};
 pub use entry::{
     ClassPolicy, CustomerSpec, Entry, EntryValue, HostSpec, PlanSpec, SearchSpec, ServiceState,
     UpstreamSpec, ZoneSpec,
--- a/crates/cornelwinch_config/src/reader.rs
+++ b/crates/cornelwinch_config/src/reader.rs
@@ -9,7 +9,7 @@
 use crate::SettingsError;
 
 /// JSON with comments and trailing commas, and no other extension.
-const SYNTAX: ParseOptions = ParseOptions {
+pub(crate) const SYNTAX: ParseOptions = ParseOptions {
     allow_comments: true,
     allow_loose_object_property_names: false,
     allow_trailing_commas: true,
@@ -45,6 +45,21 @@
         }
     }
 
+    /// Line of a byte position, counted from 1.
+    pub(crate) fn line(self, position: usize) -> usize {
+        let end = position.min(self.text.len());
+        1 + self.text.as_bytes()[..end]
+            .iter()
+            .filter(|b| **b == b'\n')
+            .count()
+    }
+
+    /// Text of a value as the file has it.
+    pub(crate) fn slice(self, value: &Value<'_>) -> &'a str {
+        let range = value.range();
+        &self.text[range.start..range.end]
+    }
+
     /// An error at a byte position.
     pub(crate) fn error(
         self,
@@ -53,14 +68,9 @@
         expected: &str,
         found: &str,
     ) -> SettingsError {
-        let end = position.min(self.text.len());
-        let line = 1 + self.text.as_bytes()[..end]
-            .iter()
-            .filter(|b| **b == b'\n')
-            .count();
         SettingsError::Invalid {
             file: self.file.to_owned(),
-            line,
+            line: self.line(position),
             key: key.to_owned(),
             expected: expected.to_owned(),
             // A parser message may span lines; an error is one line of a log.
@@ -68,9 +78,9 @@
         }
     }
 
-    fn found(self, value: &Value<'_>) -> &'a str {
-        let range = value.range();
-        let text = &self.text[range.start..range.end];
+    /// Text of a value for an error.
+    pub(crate) fn found(self, value: &Value<'_>) -> &'a str {
+        let text = self.slice(value);
         match value {
             Value::Object(_) => "an object",
             Value::Array(_) => "a list",
--- a/crates/cornelwinch_config/src/settings.rs
+++ b/crates/cornelwinch_config/src/settings.rs
@@ -7,6 +7,7 @@
 use log::LevelFilter;
 use snafu::{ResultExt, Snafu};
 
+use crate::ValidationError;
 use crate::reader::{Reader, Source, address, one_line};
 
 const HOUR_MS: u64 = 3_600_000;
@@ -142,6 +143,7 @@
 
 /// A settings file that cannot be used; the text is one line.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum SettingsError {
     /// The file cannot be read.
     #[snafu(display("{file}: cannot read the settings: {}", one_line(source)))]
@@ -151,6 +153,16 @@
         /// Error of the system.
         source: std::io::Error,
     },
+    /// An entry of a configuration document breaks a rule of its kind.
+    #[snafu(display("{file}:{line}: {source}"))]
+    Entry {
+        /// Path of the file.
+        file: String,
+        /// Line, counted from 1.
+        line: usize,
+        /// The broken rule.
+        source: ValidationError,
+    },
     /// The contents of the file break a rule.
     #[snafu(display(
         "{file}:{line}: {}expected {expected}, found {found}",
--- a/crates/cornelwinch_config/tests/settings_errors.rs
+++ b/crates/cornelwinch_config/tests/settings_errors.rs
@@ -79,7 +79,7 @@
     insta::assert_snapshot!(texts.join("\n"), @r#"
     host.jsonc:3: key "zone": expected a name of letters, digits or any of "._~-", found "tunis a"
     host.jsonc:1: key "zone": expected a name of letters, digits or any of "._~-", found no such key
-    host.jsonc:3: key "sone": expected one of deployment, host, zone, region, secret_file, caller, peer, gossip, operator, platform, seeds, operator_token_hash, drain_limit_ms, balancer_delay_ms, log, metrics, limits, found an unknown key
+    host.jsonc:3: key "sone": expected one of deployment, host, zone, region, secret_file, caller, peer, gossip, operator, platform, seeds, operator_token_hash, drain_limit_ms, balancer_delay_ms, log, metrics, limits, routing, found an unknown key
     host.jsonc:6: key "peer": expected an IP address that peers can reach and a port from 0 to 65535, found "10.0.0.1:88081"
     host.jsonc:6: key "peer": expected an IP address that peers can reach and a port from 0 to 65535, found "0.0.0.0:8081"
     host.jsonc:9: key "platform": expected an IP address and a port from 1 to 65535, found "platform.example:7000"
