Add the operators' command line

Operators change plans and marks on zones and hosts, and must see whether a change is in force before they touch a machine.

--- a/crates/cornelwinch_config/src/document.rs
+++ b/crates/cornelwinch_config/src/document.rs
@@ -83,6 +83,18 @@
         })
     }
 
+    /// Reports whether a text looks like a configuration document: its first
+    /// key is a kind of entry, or it has none.
+    pub fn is_document(text: &str) -> bool {
+        match (Source { file: "", text }).parse() {
+            Ok(Value::Object(object)) => {
+                let first = object.properties.first();
+                first.is_none_or(|prop| prop.name.as_str().parse::<Kind>().is_ok())
+            }
+            _ => false,
+        }
+    }
+
     /// Checks each entry against the present configuration and the entries
     /// that are written before it.
     ///
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub use cornelwinch_admission as admission;
 pub use cornelwinch_bench as bench;
+pub use cornelwinch_cli as cli;
 pub use cornelwinch_config as config;
 pub use cornelwinch_daemon as daemon;
 pub use cornelwinch_gather as gather;
