Use the limiter's rule for upstreams that return unannounced

Cause: the host ended a leaving state by marking and unmarking the upstream, which skipped the hold after the upstream's own announcement. Ruled out: nothing else clears that state. Change: a health probe that no longer says draining is passed to the limiter as a serving report. Conclusion: one rule decides when a leaving upstream gets legs again.

--- a/crates/cornelwinch_host/src/configuration.rs
+++ b/crates/cornelwinch_host/src/configuration.rs
@@ -157,21 +157,11 @@
 
     /// An upstream that no longer says it is leaving takes work again, from a
     /// cold start, unless the platform or an operator marks it.
-    pub(crate) fn on_upstream_health(
-        &mut self,
-        now: Instant,
-        upstream: &Name,
-        leaving: bool,
-        out: &mut Vec<Action>,
-    ) {
+    pub(crate) fn on_upstream_health(&mut self, now: Instant, upstream: &Name, leaving: bool) {
         if leaving || self.is_upstream_leaving(upstream) {
             return;
         }
-        let mut owner_out = OwnerOutput::default();
-        self.owners.set_leaving(now, upstream, true, &mut owner_out);
-        self.owners
-            .set_leaving(now, upstream, false, &mut owner_out);
-        self.on_owner_output(now, owner_out, out);
+        self.owners.on_serving_report(now, upstream);
     }
 
     pub(crate) fn on_config_update(
--- a/crates/cornelwinch_host/src/host.rs
+++ b/crates/cornelwinch_host/src/host.rs
@@ -170,7 +170,7 @@
                 self.on_owner_output(now, owner_out, out);
             }
             Input::UpstreamHealth { upstream, leaving } => {
-                self.on_upstream_health(now, &upstream, leaving, out);
+                self.on_upstream_health(now, &upstream, leaving);
             }
             Input::Platform(event) => self.on_platform(now, event, out),
             Input::Datagram { from, buf } => {
--- a/crates/cornelwinch_host/src/owners.rs
+++ b/crates/cornelwinch_host/src/owners.rs
@@ -363,6 +363,13 @@
         });
     }
 
+    /// Takes a report that the upstream serves.
+    pub(crate) fn on_serving_report(&mut self, now: Instant, upstream: &Name) {
+        if let Some(owned) = self.owned.get_mut(upstream) {
+            owned.limiter.on_serving_report(now);
+        }
+    }
+
     /// Holds all upstreams to the cold limit while ownership is unconfirmed.
     pub(crate) fn set_confirmed(&mut self, now: Instant, confirmed: bool, out: &mut OwnerOutput) {
         if self.confirmed == confirmed {
--- a/examples/measure/cold.rs
+++ b/examples/measure/cold.rs
@@ -36,7 +36,11 @@
             });
             offer(&deployment, "portal", RATE_PER_S, SECONDS, 7)
         })?;
-        let counters: Vec<_> = deployment.upstreams.iter().map(cornelwinch_standins::upstream::Upstream::counters).collect();
+        let counters: Vec<_> = deployment
+            .upstreams
+            .iter()
+            .map(cornelwinch_standins::upstream::Upstream::counters)
+            .collect();
         println!(
             "{:<7} {:>13} {:>6} {:>6} {:>8.1} {:>8.1} {:>9.4}",
             if direct { "direct" } else { "owner" },
--- a/examples/measure/owner.rs
+++ b/examples/measure/owner.rs
@@ -34,7 +34,11 @@
     shape.direct = direct;
     let deployment = Deployment::spawn(shape, &host_program()?)?;
     let report = offer(&deployment, "portal", RATE_PER_S, SECONDS, 7)?;
-    let counters: Vec<_> = deployment.upstreams.iter().map(cornelwinch_standins::upstream::Upstream::counters).collect();
+    let counters: Vec<_> = deployment
+        .upstreams
+        .iter()
+        .map(cornelwinch_standins::upstream::Upstream::counters)
+        .collect();
     println!(
         "{:<7} {:>5} {:>8.1} {:>8.1} {:>9.4} {:>8} {:>6} {:>6} {:>6}",
         if direct { "direct" } else { "owner" },
