Keep the cost of admission independent of idle customers and hosts

The event loop asks for the next wake on every turn, and that went through all accounts; each change of hosts hashed every host for every customer with an allocation each. The next wake is now a bound kept by the calls that schedule requests, and the hash of the customer seeds the hash of the host. An index of due accounts was ruled out as more state than a bound that may be early. Marks on unreachable hosts that do not differ no longer refresh the accounts.

--- a/crates/cornelwinch_admission/src/admission.rs
+++ b/crates/cornelwinch_admission/src/admission.rs
@@ -139,6 +139,9 @@
     settling: Duration,
     /// By customer.
     accounts: Vec<Account>,
+    /// No request is due before this time. It may be too early, but saves
+    /// going through all accounts on every turn of the event loop.
+    wake: Option<Instant>,
     opened: Instant,
 }
 
@@ -157,6 +160,7 @@
             config: ConfigState::default(),
             settling,
             accounts: Vec::new(),
+            wake: None,
             opened: now,
         }
     }
@@ -198,7 +202,6 @@
     /// and another host stands in for one that is a customer's home.
     pub fn set_unreachable(&mut self, hosts: &[Name]) {
         self.views.set_unreachable(hosts);
-        self.views.touch();
     }
 
     /// Reports whether this host has a share of its own: it has been known to
@@ -260,6 +263,8 @@
                 account.exchange_mut(resource).schedule(now, cfg.interval);
             }
         }
+        let due = account.next_round();
+        self.wake_at(due);
         result
     }
 
@@ -314,11 +319,16 @@
                 account.round(Resource::Slots, cx);
             });
         }
+        self.wake = self.accounts.iter().filter_map(Account::next_round).min();
     }
 
-    /// Time of the next request that becomes due.
+    /// Time of the next wake; it may be earlier than the next request.
     pub fn next_wake(&self) -> Option<Instant> {
-        self.accounts.iter().filter_map(Account::next_round).min()
+        self.wake
+    }
+
+    fn wake_at(&mut self, due: Option<Instant>) {
+        self.wake = self.wake.into_iter().chain(due).min();
     }
 
     fn authorise(
@@ -422,6 +432,8 @@
             out,
         };
         f(&mut self.accounts[i], &mut cx);
+        let due = self.accounts[i].next_round();
+        self.wake_at(due);
     }
 }
 
--- a/crates/cornelwinch_admission/src/views.rs
+++ b/crates/cornelwinch_admission/src/views.rs
@@ -1,7 +1,7 @@
 use std::time::{Duration, Instant};
 
 use cornelwinch_types::Name;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Sets of known hosts: the present one, and those replaced so recently that
 /// loans made under them may still run.
@@ -41,7 +41,7 @@
         self.epoch
     }
 
-    pub(crate) fn touch(&mut self) {
+    fn touch(&mut self) {
         self.epoch += 1;
     }
 
@@ -71,8 +71,12 @@
     }
 
     pub(crate) fn set_unreachable(&mut self, hosts: &[Name]) {
-        self.unreachable = hosts.to_vec();
-        self.unreachable.sort();
+        let mut hosts = hosts.to_vec();
+        hosts.sort();
+        if hosts != self.unreachable {
+            self.unreachable = hosts;
+            self.touch();
+        }
     }
 
     /// Forgets past sets after the settling time, and lets this host have a
@@ -103,11 +107,12 @@
         if !self.joined {
             return 0;
         }
+        let seed = xxh3_64(customer.as_bytes());
         let share = |hosts: &Vec<Name>| {
             let count = u32::try_from(hosts.len()).unwrap_or(u32::MAX);
             let rest = amount % count;
-            let mine = score(customer, &self.me);
-            let ahead = |host: &&Name| **host != self.me && score(customer, host) > mine;
+            let mine = score(seed, &self.me);
+            let ahead = |host: &&Name| **host != self.me && score(seed, host) > mine;
             let extra = rest > 0 && hosts.iter().filter(ahead).count() < rest as usize;
             amount / count + u32::from(extra)
         };
@@ -116,9 +121,10 @@
 
     /// The customer's home host: the reachable one that ranks first.
     pub(crate) fn home(&self, customer: &str) -> &Name {
+        let seed = xxh3_64(customer.as_bytes());
         let hosts = self.present.iter().filter(|host| self.is_reachable(host));
         hosts
-            .max_by_key(|host| score(customer, host))
+            .max_by_key(|host| score(seed, host))
             .unwrap_or(&self.me)
     }
 
@@ -127,11 +133,11 @@
     }
 }
 
-fn score(customer: &str, host: &str) -> (u64, u64) {
-    let mut buf = Vec::with_capacity(customer.len() + host.len() + 1);
-    buf.extend_from_slice(customer.as_bytes());
-    buf.push(0);
-    buf.extend_from_slice(host.as_bytes());
-    // The hash of the host alone breaks a tie in the same way on every host.
-    (xxh3_64(&buf), xxh3_64(host.as_bytes()))
+/// Orders hosts for a customer. The hash of the host alone breaks a tie in the
+/// same way on every host.
+fn score(seed: u64, host: &str) -> (u64, u64) {
+    (
+        xxh3_64_with_seed(host.as_bytes(), seed),
+        xxh3_64(host.as_bytes()),
+    )
 }
