Report what was written before the platform failed

An error in the middle of a document ended the command with the error alone, so the operator did not see which entries were in force. The failed entry now is a row of the result, with the error below the table, and the rest is skipped. Undoing the entries written before was ruled out: it would need more writes on a platform that has just failed.

--- a/crates/cornelwinch_cli/src/apply.rs
+++ b/crates/cornelwinch_cli/src/apply.rs
@@ -1,7 +1,7 @@
 use std::io::Write;
 
 use cornelwinch_config::{Document, DocumentEntry, Kind};
-use cornelwinch_platform::{Difference, Object, PlatformClient, Written};
+use cornelwinch_platform::{Difference, Object, PlatformClient, PlatformError, Written};
 use cornelwinch_types::{Name, Revision};
 use serde::Serialize;
 use snafu::ResultExt;
@@ -27,6 +27,10 @@
     Overtaken,
     /// The platform did not apply it in time.
     NotApplied,
+    /// The platform gave no usable answer.
+    Failed,
+    /// The answer was lost and the object could not be read back.
+    Unresolved,
     /// Not tried, because an entry before it was not written.
     Skipped,
 }
@@ -44,6 +48,8 @@
     pub(crate) other: Option<String>,
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub(crate) differences: Vec<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) error: Option<String>,
 }
 
 /// Result of a command that changes the configuration.
@@ -139,7 +145,23 @@
         (false, 0) => Action::Created,
         (false, _) => Action::Updated,
     };
-    Ok(match written.context(PlatformSnafu)? {
+    let written = match written {
+        Ok(written) => written,
+        Err(error @ PlatformError::InvalidName { .. }) => return Err(error).context(PlatformSnafu),
+        // The entries written before are reported with this one.
+        Err(error) => {
+            let unresolved = matches!(error, PlatformError::Unresolved { .. });
+            let action = if unresolved {
+                Action::Unresolved
+            } else {
+                Action::Failed
+            };
+            let mut change = Change::new(write.kind, write.name, action);
+            change.error = Some(error.to_string());
+            return Ok(change);
+        }
+    };
+    Ok(match written {
         Written::Applied { object } => {
             let mut change = Change::new(write.kind, write.name, applied);
             change.revision = object.map(|object| object.revision);
@@ -184,8 +206,8 @@
 
 impl Action {
     fn is_failure(self) -> bool {
-        use Action::{Conflict, NotApplied, Overtaken, Skipped};
-        matches!(self, Conflict | Overtaken | NotApplied | Skipped)
+        use Action::{Created, Deleted, Unchanged, Updated};
+        !matches!(self, Created | Updated | Deleted | Unchanged)
     }
 
     fn as_str(self) -> &'static str {
@@ -197,6 +219,8 @@
             Self::Conflict => "conflict",
             Self::Overtaken => "overtaken",
             Self::NotApplied => "not applied",
+            Self::Failed => "failed",
+            Self::Unresolved => "unresolved",
             Self::Skipped => "skipped",
         }
     }
@@ -212,6 +236,7 @@
             revision: None,
             other: None,
             differences: Vec::new(),
+            error: None,
         }
     }
 
@@ -258,6 +283,9 @@
             ),
             _ => String::new(),
         };
+        if let Some(error) = &self.error {
+            text += &format!("{place}: {error}\n");
+        }
         for difference in &self.differences {
             text += &format!("  {difference}\n");
         }
--- a/crates/cornelwinch_cli/tests/apply_document.rs
+++ b/crates/cornelwinch_cli/tests/apply_document.rs
@@ -91,6 +91,29 @@
     "#);
 }
 
+/// Guards against an outage that hides which entries were written before it.
+#[test]
+fn outage_shows_progress() {
+    let platform = fake::spawn(Duration::ZERO);
+    let address = platform.addr.to_string();
+    let document = file("outage.jsonc", DOCUMENT);
+    platform.store.lock().expect("no panic in the store").faults = vec![Fault::Down, Fault::None];
+    let (code, out, err) = run(&["apply", "--platform", &address, &document]);
+    assert_eq!((code, err.as_str()), (1, ""));
+    let change = out.find("change cli-").expect("the identifier") + "change cli-".len();
+    let out = out
+        .replace(&out[change..change + 32], "ID")
+        .replace(&address, "ADDRESS");
+    insta::assert_snapshot!(out, @r#"
+    KIND    NAME     RESULT      REVISION
+    class   fast     created     1
+    search  portal   unresolved
+    plan    gold     skipped
+    zone    tunis-a  skipped
+    search "portal": write /v1/objects/search/portal: change cli-ID may or may not have been applied, and reading the object back failed: GET /v1/objects/search/portal: the platform at ADDRESS is unavailable
+    "#);
+}
+
 /// Guards against an invalid document that is written in part.
 #[test]
 fn invalid_writes_nothing() {
--- a/crates/cornelwinch_platform/tests/fake/mod.rs
+++ b/crates/cornelwinch_platform/tests/fake/mod.rs
@@ -24,6 +24,8 @@
     Overtaken,
     /// Another writer is first; answered with an outage.
     Beaten,
+    /// Not applied, and from now on all reads meet an outage.
+    Down,
 }
 
 #[derive(Debug, Default)]
@@ -169,9 +171,12 @@
                 store.set(kind, name, &other);
             }
             let (status, object) = match fault {
-                Fault::OverRate | Fault::OutageBefore => (0, Value::Null),
+                Fault::OverRate | Fault::OutageBefore | Fault::Down => (0, Value::Null),
                 _ => store.write(kind, name, version, &value),
             };
+            if fault == Fault::Down {
+                store.failing_reads = usize::MAX;
+            }
             if fault == Fault::Overtaken {
                 store.set(kind, name, &other);
             }
