--- a/crates/cornelwinch_http/src/pool.rs
+++ b/crates/cornelwinch_http/src/pool.rs
@@ -33,7 +33,8 @@
     /// Time without traffic after which a caller that owes bytes or does not
     /// read its answer is cut, and largest time for a whole header.
     pub idle: Duration,
-    /// Threads that read requests and run the handler.
+    /// Threads that read requests and run the handler; not used by
+    /// [`HttpPool::bind`], where the pool has its own number.
     pub workers: usize,
 }
 
@@ -55,6 +56,7 @@
     pub(crate) handler: Arc<Handler>,
     pub(crate) keep_alive: AtomicBool,
     pub(crate) connections: AtomicUsize,
+    pub(crate) requests: AtomicUsize,
 }
 
 /// Threads that several listeners share: a relay, the workers and a writer.
@@ -77,7 +79,7 @@
     /// Fails when the loopback listener or a thread cannot be started.
     pub fn open(workers: usize) -> Result<Arc<Self>, HttpError> {
         let workers = workers.max(1);
-        let tiny = tiny_http::Server::http((Ipv4Addr::LOCALHOST, 0)).map_err(|error| {
+        let tiny = tiny_http::Server::from_listener(open_backend()?, None).map_err(|error| {
             HttpError::Backend {
                 message: error.to_string(),
             }
@@ -136,6 +138,7 @@
             handler: Arc::new(handler),
             keep_alive: AtomicBool::new(true),
             connections: AtomicUsize::new(0),
+            requests: AtomicUsize::new(0),
         });
         let (stop, stopped) = oneshot::channel();
         let (closing, closed) = crossbeam_channel::bounded(0);
@@ -157,6 +160,18 @@
     }
 }
 
+/// Opens the loopback listener of `tiny_http`. On Linux its connections inherit
+/// `TCP_NODELAY`; without it an answer of more than one write waits up to 40 ms
+/// for the delayed acknowledgement of the first.
+fn open_backend() -> Result<TcpListener, HttpError> {
+    let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let listener = TcpListener::bind(addr).context(BindSnafu { addr })?;
+    socket2::SockRef::from(&listener)
+        .set_tcp_nodelay(true)
+        .context(BindSnafu { addr })?;
+    Ok(listener)
+}
+
 impl Drop for HttpPool {
     fn drop(&mut self) {
         self.closed.store(true, Ordering::Release);
@@ -198,6 +213,12 @@
     pub fn connections(&self) -> usize {
         self.state.connections.load(Ordering::Acquire)
     }
+
+    /// Number of requests that are being read, run or answered. A server that
+    /// is dropped at 0 interrupts none.
+    pub fn requests(&self) -> usize {
+        self.state.requests.load(Ordering::Acquire)
+    }
 }
 
 impl Drop for HttpServer {
@@ -332,7 +353,7 @@
             body,
             headers,
         } = *answer;
-        let mut response = tiny_http::Response::from_string(body)
+        let mut response = tiny_http::Response::from_data(body)
             .with_status_code(status)
             // The relay frames answers by their length.
             .with_chunked_threshold(usize::MAX);
