Learn how long a cold start of an upstream takes

Cause: the limiter took an upstream for warm after 16 answers, whatever their speed; an upstream that needs 50 legs was given its full limit too early, fell over and started again. Change: an upstream whose recent median stays above 1.5 times its usual service time counts as cold; a shed soon after the end of a cold start doubles the number of answers expected from then on.

--- a/crates/cornelwinch_limiter/src/ramp.rs
+++ b/crates/cornelwinch_limiter/src/ramp.rs
@@ -1,3 +1,4 @@
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use crate::config::LimiterConfig;
@@ -14,6 +15,14 @@
 /// Slow answers in a row that indicate a cold start. With 1 % of stragglers, a
 /// run of this length by chance has a probability of 1e-16.
 const SLOW_RUN: u32 = 8;
+/// An upstream in a cold start is still slow if the median of its last answers
+/// takes this many times the usual service time. The medians of a warm upstream
+/// whose service time varies by a third stay below it.
+const COLD_FACTOR: f64 = 1.5;
+/// Answers whose median is compared with the usual service time.
+const RECENT: usize = 5;
+/// Largest number of successes that a cold start is expected to take.
+const WARM_AFTER_MAX: usize = 4_096;
 /// Weight of an answer at the usual speed towards the end of a cold start; a
 /// slow answer has weight 1, so that a lasting change of the service time
 /// cannot hold an upstream cold for ever.
@@ -33,6 +42,10 @@
     threshold: usize,
     cold: bool,
     warmth: usize,
+    /// Successes since the end of the last cold start.
+    since_warm: usize,
+    /// Latencies of the last answers, in seconds, the next one to replace first.
+    recent: VecDeque<f64>,
     /// Successes of legs sent since the limit last changed.
     round: usize,
     /// Number of changes of the limit; a leg carries the number it was sent at.
@@ -48,6 +61,8 @@
     service: Option<f64>,
     /// Average service time of a warm upstream without slow answers, in seconds.
     usual: Option<f64>,
+    /// `usual` as it was before the last cold start.
+    before_cold: Option<f64>,
 }
 
 impl Ramp {
@@ -61,6 +76,8 @@
             threshold: cfg.slots,
             cold: warm_limit.is_none(),
             warmth: 0,
+            since_warm: 0,
+            recent: VecDeque::with_capacity(RECENT),
             round: 0,
             epoch: 0,
             cut: 0,
@@ -70,6 +87,7 @@
             pause_until: None,
             service: None,
             usual: None,
+            before_cold: None,
         }
     }
 
@@ -104,6 +122,7 @@
     pub(crate) fn enter_cold(&mut self) {
         self.cold = true;
         self.warmth = 0;
+        self.recent.clear();
         self.slow_run = 0;
         self.threshold = self.slots;
         self.set_limit(self.limit.min(self.cold_limit));
@@ -139,12 +158,9 @@
         }
         self.round += 1;
         if self.cold {
-            self.warmth += if slow { 1 } else { FAST_WEIGHT };
-            if self.warmth >= self.warm_after * FAST_WEIGHT {
-                self.cold = false;
-                self.usual = self.service;
-                self.slow_run = 0;
-            }
+            self.warm_up(latency);
+        } else {
+            self.since_warm += 1;
         }
         let bound = if self.cold {
             self.cold_limit
@@ -161,10 +177,34 @@
         }
     }
 
+    /// Counts an answer of a cold start, and ends it after enough of them.
+    fn warm_up(&mut self, latency: f64) {
+        if self.recent.len() == RECENT {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(latency);
+        let slow = self
+            .usual
+            .is_some_and(|usual| median(&self.recent) > usual * COLD_FACTOR);
+        self.warmth += if slow { 1 } else { FAST_WEIGHT };
+        if self.warmth >= self.warm_after * FAST_WEIGHT {
+            self.cold = false;
+            self.since_warm = 0;
+            self.before_cold = self.usual;
+            self.usual = self.service;
+            self.slow_run = 0;
+        }
+    }
+
     /// Records a shed of a leg that was sent at `epoch`.
     pub(crate) fn on_shed(&mut self, now: Instant, epoch: u64) {
         self.sheds += 1;
         self.warmth = 0;
+        if !self.cold && self.sheds == 1 && self.since_warm < self.warm_after {
+            // The upstream was taken for warm too early.
+            self.warm_after = (self.warm_after * 2).min(WARM_AFTER_MAX);
+            self.usual = self.before_cold.or(self.usual);
+        }
         if epoch >= self.cut {
             self.set_limit((self.limit / 2).max(1));
             self.threshold = self.limit;
@@ -186,6 +226,12 @@
     }
 }
 
+fn median(values: &VecDeque<f64>) -> f64 {
+    let mut sorted: Vec<f64> = values.iter().copied().collect();
+    sorted.sort_unstable_by(f64::total_cmp);
+    sorted[sorted.len() / 2]
+}
+
 fn smooth(average: &mut Option<f64>, sample: f64) {
     *average = Some(average.map_or(sample, |a| a + (sample - a) * SMOOTHING));
 }
