Measure hosts that are killed, frozen and resumed

Cause: the bound on slots was measured only with healthy hosts. Ruled out: nothing. Change: the experiment hosts.

--- a/examples/measure/load.rs
+++ b/examples/measure/load.rs
@@ -1,3 +1,5 @@
+use std::error::Error;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use cornelwinch::bench::{BenchAnswer, BenchConfig, MixItem, Report, SentRequest, run_verified};
@@ -5,8 +7,6 @@
 use cornelwinch_standins::documents;
 use cornelwinch_types::{Outcome, SnapshotId};
 
-use std::error::Error;
-
 /// Offers queries of one search to all hosts and checks every answer.
 pub(crate) fn offer(
     deployment: &Deployment,
@@ -15,8 +15,18 @@
     seconds: u64,
     seed: u64,
 ) -> Result<Report, Box<dyn Error>> {
-    let mix = vec![item(search, 340)];
-    offer_mix(deployment, mix, rate_per_s, seconds, seed)
+    offer_targets(deployment.targets(), search, rate_per_s, seconds, seed)
+}
+
+/// As [`offer`], to some hosts only.
+pub(crate) fn offer_targets(
+    targets: Vec<SocketAddr>,
+    search: &str,
+    rate_per_s: f64,
+    seconds: u64,
+    seed: u64,
+) -> Result<Report, Box<dyn Error>> {
+    offer_mix(targets, vec![item(search, 340)], rate_per_s, seconds, seed)
 }
 
 /// One search with its only class.
@@ -33,14 +43,14 @@
 }
 
 pub(crate) fn offer_mix(
-    deployment: &Deployment,
+    targets: Vec<SocketAddr>,
     mix: Vec<MixItem>,
     rate_per_s: f64,
     seconds: u64,
     seed: u64,
 ) -> Result<Report, Box<dyn Error>> {
     let cfg = BenchConfig {
-        targets: deployment.targets(),
+        targets,
         rate_per_s,
         duration: Duration::from_secs(seconds),
         mix,
--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -4,6 +4,7 @@
 //! `--settings FILE` for each of them. Every experiment ends by itself.
 
 mod cold;
+mod hosts;
 mod load;
 mod owner;
 mod scale;
@@ -28,8 +29,9 @@
         ["tail"] => tail::measure(),
         ["zone"] => zone::measure(),
         ["cold"] => cold::measure(),
+        ["hosts"] => hosts::measure(),
         ["scale", ref counts @ ..] => scale::measure(counts),
-        _ => Err("usage: measure owner|tail|zone|cold|scale [HOSTS ...]".into()),
+        _ => Err("usage: measure owner|tail|zone|cold|hosts|scale [HOSTS ...]".into()),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
