Send legs elsewhere when their owner falls silent

Cause: legs to a frozen owner waited for their deadline until membership declared the host dead, 3 to 4 s later. Ruled out: a shorter suspicion time (more false suspicions on loaded hosts, and owners would change for every short pause); hedges (their budget of 3 % is far below the 20 % of legs that one of five owners has). Change: an owner that has three or more legs to answer and sends nothing for 100 ms is silent: its idempotent legs end as lost and run on other replicas, and it gets one leg per 200 ms until it answers. Tickets wait, because they may not run twice.

--- a/crates/cornelwinch_host/src/host.rs
+++ b/crates/cornelwinch_host/src/host.rs
@@ -192,6 +192,8 @@
         let mut owner_out = OwnerOutput::default();
         self.owners.on_wake(now, &mut owner_out);
         self.on_owner_output(now, owner_out, out);
+        let lost = self.router.on_wake(now);
+        self.deliveries.extend(lost);
         self.wake_queries(now, out);
         self.wake_ticketing(now, out);
         let mut actions = Vec::new();
@@ -210,6 +212,7 @@
         let timers = [
             self.membership.next_wake(),
             self.owners.next_wake(),
+            self.router.next_wake(),
             self.queries.next_wake(),
             self.ticketing.next_wake(),
             self.admission.next_wake(),
@@ -312,11 +315,11 @@
         redirected: bool,
         out: &mut Vec<Action>,
     ) {
-        if !self.router.record(now, &leg, origin, owner, redirected) {
+        if let Err(refusal) = self.router.record(now, &leg, origin, owner, redirected) {
             self.deliveries.push(Delivery {
                 origin,
                 attempt: leg.attempt,
-                result: LegResult::Refused(Refusal::Overloaded),
+                result: LegResult::Refused(refusal),
             });
         } else if *owner == self.cfg.me.name {
             let mut owner_out = OwnerOutput::default();
@@ -386,6 +389,7 @@
     }
 
     fn on_peer(&mut self, now: Instant, from: &Name, msg: PeerMessage, out: &mut Vec<Action>) {
+        self.router.on_heard(now, from);
         match msg {
             PeerMessage::Legs(batch) => {
                 let mut owner_out = OwnerOutput::default();
--- a/crates/cornelwinch_host/src/lib.rs
+++ b/crates/cornelwinch_host/src/lib.rs
@@ -14,6 +14,7 @@
 mod request;
 mod router;
 mod shutdown;
+mod silence;
 mod status;
 mod sync;
 mod ticketing;
--- a/crates/cornelwinch_host/src/router.rs
+++ b/crates/cornelwinch_host/src/router.rs
@@ -4,6 +4,7 @@
     AttemptId, LegFailure, LegRequest, LegResult, Name, QueryId, Refusal, SortedMap,
 };
 
+use crate::silence::OwnerActivity;
 use crate::{LegBatch, LegRef, PeerMessage};
 
 /// Legs that may be outstanding at one owner. More are refused here: the owner
@@ -55,7 +56,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct LegRouter {
     routed: SortedMap<AttemptId, Routed>,
-    outstanding: SortedMap<Name, usize>,
+    activity: OwnerActivity,
     outbox: Vec<(Name, PeerMessage)>,
 }
 
@@ -65,7 +66,7 @@
         self.routed.len()
     }
 
-    /// Records a leg for an owner; false if too many are outstanding there.
+    /// Records a leg for an owner, or tells why it cannot be sent.
     pub(crate) fn record(
         &mut self,
         now: Instant,
@@ -73,12 +74,14 @@
         origin: LegOrigin,
         owner: &Name,
         redirected: bool,
-    ) -> bool {
-        let count = self.outstanding.get_or_insert_with(owner.clone(), || 0);
-        if *count >= OUTSTANDING_PER_OWNER {
-            return false;
+    ) -> Result<(), Refusal> {
+        if self.activity.outstanding(owner) >= OUTSTANDING_PER_OWNER {
+            return Err(Refusal::Overloaded);
         }
-        *count += 1;
+        if !self.activity.may_send(now, owner) {
+            return Err(Refusal::Unreachable);
+        }
+        self.activity.on_sent(now, owner);
         let routed = Routed {
             leg: leg.clone(),
             deadline: now + leg.budget,
@@ -87,7 +90,7 @@
             redirected,
         };
         self.routed.insert(leg.attempt, routed);
-        true
+        Ok(())
     }
 
     /// Puts a leg into the next message for its owner.
@@ -124,9 +127,7 @@
 
     fn forget(&mut self, attempt: AttemptId) -> Option<Routed> {
         let routed = self.routed.remove(&attempt)?;
-        if let Some(count) = self.outstanding.get_mut(&routed.owner) {
-            *count = count.saturating_sub(1);
-        }
+        self.activity.on_ended(&routed.owner);
         Some(routed)
     }
 
@@ -143,6 +144,8 @@
             Some(routed) if routed.owner == *from => {}
             _ => return ResultRoute::Drop(result),
         }
+        // This host's own results come from here only, not from a message.
+        self.activity.on_heard(now, from);
         let Some(routed) = self.forget(attempt) else {
             return ResultRoute::Drop(result);
         };
@@ -179,6 +182,7 @@
     /// Ends all legs at an owner whose connection failed. Those in `unsent`
     /// never left; the others may have run.
     pub(crate) fn on_owner_down(&mut self, owner: &Name, unsent: &[PeerMessage]) -> Vec<Delivery> {
+        self.activity.forget(owner);
         let mut unsent: Vec<AttemptId> = unsent
             .iter()
             .filter_map(|msg| match msg {
@@ -188,13 +192,44 @@
             .flatten()
             .collect();
         unsent.sort_unstable();
-        let lost: Vec<AttemptId> = self
-            .routed
+        let lost = self.attempts_at(owner, |_| true);
+        self.end_lost(lost, &unsent)
+    }
+
+    /// Notes that an owner sent something.
+    pub(crate) fn on_heard(&mut self, now: Instant, owner: &str) {
+        self.activity.on_heard(now, owner);
+    }
+
+    /// Ends the idempotent legs at owners that have become silent, so that they
+    /// can run elsewhere. Others must wait: they may not run twice.
+    pub(crate) fn on_wake(&mut self, now: Instant) -> Vec<Delivery> {
+        let mut lost = Vec::new();
+        for owner in self.activity.take_silent(now) {
+            let attempts = self.attempts_at(&owner, |leg| leg.idempotent);
+            log::warn!("event=owner_silent owner={owner} legs={}", attempts.len());
+            lost.extend(attempts);
+        }
+        self.end_lost(lost, &[])
+    }
+
+    /// Time of the next call of [`LegRouter::on_wake`].
+    pub(crate) fn next_wake(&self) -> Option<Instant> {
+        self.activity.next_wake()
+    }
+
+    fn attempts_at(&self, owner: &str, wanted: impl Fn(&LegRequest) -> bool) -> Vec<AttemptId> {
+        self.routed
             .iter()
-            .filter(|(_, routed)| routed.owner == *owner)
+            .filter(|(_, routed)| *routed.owner == *owner && wanted(&routed.leg))
             .map(|(attempt, _)| *attempt)
-            .collect();
-        lost.into_iter()
+            .collect()
+    }
+
+    /// Ends attempts; those in `unsent`, which is sorted, certainly never ran.
+    fn end_lost(&mut self, attempts: Vec<AttemptId>, unsent: &[AttemptId]) -> Vec<Delivery> {
+        attempts
+            .into_iter()
             .filter_map(|attempt| {
                 let routed = self.forget(attempt)?;
                 let result = if unsent.binary_search(&attempt).is_ok() {
