Refuse messages that waited while a host was paused

Cause: a message carries the time that was left when it was sent, since clocks are not synchronised. A resumed host took legs and tickets that had waited in its sockets for fresh ones and started expired work. Ruled out: timestamps (need synchronised clocks), a fixed time after the pause in which all is refused (no bound on the time that a socket holds a message). Change: after a gap of 250 ms between two turns a host sends each peer a fence; what arrives from a peer before its answer is refused as expired, because the peer may have sent it before the pause ended. Conclusion: expired work is not started whatever the length of the pause.

--- a/crates/cornelwinch_host/src/host.rs
+++ b/crates/cornelwinch_host/src/host.rs
@@ -6,6 +6,7 @@
 use cornelwinch_placement::Placement;
 use cornelwinch_types::{AttemptId, LegRequest, LegResult, Member, MemberState, Name, Refusal};
 
+use crate::fence::Fence;
 use crate::owners::{OwnerLimits, OwnerOutput, Owners};
 use crate::queries::Queries;
 use crate::router::{Delivery, LegOrigin, LegRouter, ResultRoute};
@@ -14,9 +15,12 @@
 use crate::ticketing::Ticketing;
 use crate::{Action, Input, LegDone, LegRef, PeerMessage};
 
-/// Longest time between two turns. A longer gap means that the process or the
-/// machine was paused.
-const TURN_PERIOD: Duration = Duration::from_millis(250);
+/// Longest time between two turns.
+const TURN_PERIOD: Duration = Duration::from_millis(100);
+
+/// Gap between two turns from which messages of peers may have waited longer
+/// than their deadlines allow. It is shorter than the deadline of a query.
+const PAUSE_GAP: Duration = Duration::from_millis(250);
 
 /// How legs reach an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -74,6 +78,7 @@
     pub(crate) next_watch: Option<Instant>,
     pub(crate) next_hosts: Option<Instant>,
     pub(crate) draining: Option<Draining>,
+    fence: Fence,
     last_turn: Instant,
     /// The other hosts know this one, so that it has a share of each rate.
     has_shares: bool,
@@ -123,6 +128,7 @@
             next_watch: Some(now),
             next_hosts: Some(now),
             draining: None,
+            fence: Fence::default(),
             last_turn: now,
             has_shares: false,
             deliveries: Vec::new(),
@@ -192,6 +198,11 @@
         let mut owner_out = OwnerOutput::default();
         self.owners.on_wake(now, &mut owner_out);
         self.on_owner_output(now, owner_out, out);
+        if let Some((number, peers)) = self.fence.on_wake(now) {
+            for peer in peers {
+                self.router.push(peer, PeerMessage::Fence { number });
+            }
+        }
         let lost = self.router.on_wake(now);
         self.deliveries.extend(lost);
         self.wake_queries(now, out);
@@ -213,6 +224,7 @@
             self.membership.next_wake(),
             self.owners.next_wake(),
             self.router.next_wake(),
+            self.fence.next_wake(),
             self.queries.next_wake(),
             self.ticketing.next_wake(),
             self.admission.next_wake(),
@@ -230,6 +242,9 @@
         let gap = now.saturating_duration_since(self.last_turn);
         self.last_turn = now;
         self.has_shares = self.has_shares || self.admission.is_settled(now);
+        if gap > PAUSE_GAP {
+            self.fence.raise(now, self.other_members());
+        }
         if gap > self.cfg.suspicion {
             log::warn!("event=process_paused gap_ms={}", gap.as_millis());
             let mut owner_out = OwnerOutput::default();
@@ -393,8 +408,15 @@
         match msg {
             PeerMessage::Legs(batch) => {
                 let mut owner_out = OwnerOutput::default();
+                let stale = self.fence.is_stale(from);
                 for leg in batch.into_legs() {
-                    if self.owners.owns(&leg.upstream) {
+                    if stale {
+                        self.reply_leg(
+                            from,
+                            leg.attempt,
+                            LegResult::Refused(Refusal::DeadlinePassed),
+                        );
+                    } else if self.owners.owns(&leg.upstream) {
                         self.owners.submit(now, leg, from.clone(), &mut owner_out);
                     } else {
                         self.refuse_not_owner(from, &leg);
@@ -426,6 +448,10 @@
                     .on_released(now, &upstream, finished, &mut owner_out);
                 self.on_owner_output(now, owner_out, out);
             }
+            PeerMessage::Fence { number } => {
+                self.router.push(from, PeerMessage::FenceAck { number });
+            }
+            PeerMessage::FenceAck { number } => self.fence.on_ack(from, number),
             PeerMessage::UpstreamsLeaving(names) => self.on_upstreams_leaving(now, names, out),
             PeerMessage::PullConfig { after } => {
                 let msg = self.sync.on_pull(after);
@@ -540,9 +566,25 @@
                 peer: member.name.clone(),
             });
             self.on_peer_down(now, &member.name, &[], out);
+            self.fence.forget(&member.name);
         }
     }
 
+    /// Members other than this host that may send legs, by name.
+    fn other_members(&self) -> Vec<Name> {
+        self.membership
+            .members()
+            .iter()
+            .filter(|member| member.state != MemberState::Dead && member.name != self.cfg.me.name)
+            .map(|member| member.name.clone())
+            .collect()
+    }
+
+    /// Reports whether a message of a peer may have waited during a pause.
+    pub(crate) fn is_stale(&self, peer: &Name) -> bool {
+        self.fence.is_stale(peer)
+    }
+
     fn on_admission(&mut self, actions: Vec<AdmissionAction>) {
         for AdmissionAction::Send { to, msg } in actions {
             self.router.push(&to, PeerMessage::Admission(msg));
--- a/crates/cornelwinch_host/src/lib.rs
+++ b/crates/cornelwinch_host/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod action;
 mod configuration;
+mod fence;
 mod host;
 mod input;
 mod message;
--- a/crates/cornelwinch_host/src/message.rs
+++ b/crates/cornelwinch_host/src/message.rs
@@ -32,6 +32,17 @@
         /// Number of legs finished.
         finished: u32,
     },
+    /// Asks for a [`PeerMessage::FenceAck`] after a pause of the sender.
+    Fence {
+        /// Number of the pause.
+        number: u64,
+    },
+    /// Answers a fence: what the sender of the fence received from this host
+    /// before may have waited during the pause.
+    FenceAck {
+        /// Number of the pause.
+        number: u64,
+    },
     /// Upstreams that the platform marks as leaving; replaces the last list.
     UpstreamsLeaving(Vec<Name>),
     /// Asks for the configuration entries after a revision.
--- a/crates/cornelwinch_host/src/ticketing.rs
+++ b/crates/cornelwinch_host/src/ticketing.rs
@@ -228,7 +228,13 @@
             key: req.key,
             body: req.body,
             priority: req.priority,
-            deadline: now + req.budget,
+            // Work that may have waited during a pause of this process is not
+            // started; its ticket then never runs.
+            deadline: if self.is_stale(from) {
+                now
+            } else {
+                now + req.budget
+            },
         };
         self.begin_ticket(now, work, waiter, out);
     }
--- a/examples/measure/hosts.rs
+++ b/examples/measure/hosts.rs
@@ -83,7 +83,7 @@
     Ok(())
 }
 
-fn operate(mut hosts: Vec<HostProcess>) -> Result<(), cornelwinch_lab::LabError> {
+fn operate(mut hosts: Vec<HostProcess>) -> Result<Vec<HostProcess>, cornelwinch_lab::LabError> {
     thread::sleep(Duration::from_secs(3));
     hosts[0].kill();
     thread::sleep(Duration::from_secs(5));
@@ -92,6 +92,6 @@
     hosts[1].freeze();
     thread::sleep(FREEZE);
     hosts[1].resume();
-    thread::sleep(Duration::from_secs(5));
-    Ok(())
+    // The caller keeps them: a dropped host is killed.
+    Ok(hosts)
 }
