Measure two classes at twice the load that upstreams bear

Cause: the priority of classes was not measured on running processes. Ruled out: nothing. Change: further classes of a search in the lab, and the experiment plans.

--- a/crates/cornelwinch_lab/src/deployment.rs
+++ b/crates/cornelwinch_lab/src/deployment.rs
@@ -109,9 +109,9 @@
         self.hosts.iter().map(HostProcess::caller).collect()
     }
 
-    /// Bearer token of the customer of a search.
-    pub fn token(search: &str) -> String {
-        format!("token-{search}")
+    /// Bearer token of the customer of a class.
+    pub fn token(class: &str) -> String {
+        format!("token-{class}")
     }
 
     /// Bearer token of operators.
@@ -199,25 +199,36 @@
             id: FIRST_SNAPSHOT,
             shards,
         };
-        self.put(name, &EntryValue::Class(Some(search.policy.clone())))?;
-        let classes = vec![name.clone()];
+        let all = search.all_classes();
+        for (class, policy) in &all {
+            self.put(class, &EntryValue::Class(Some(policy.clone())))?;
+        }
+        let classes = all.iter().map(|(class, _)| class.clone()).collect();
         self.put(name, &EntryValue::Search(Some(SearchSpec { classes })))?;
         let snapshot_name = format!("{name}.{FIRST_SNAPSHOT}");
         self.put(&snapshot_name, &EntryValue::Snapshot(Some(snapshot)))?;
+        for (class, policy) in &all {
+            self.put_customer(class, name, policy.priority)?;
+        }
+        Ok(())
+    }
+
+    /// Writes a customer and its plan, both named as its class.
+    fn put_customer(&self, class: &Name, search: &Name, priority: u8) -> Result<(), LabError> {
         let plan = PlanSpec {
             rate_per_s: self.shape.rate_per_s,
             burst: 10_000,
             concurrency: self.shape.concurrency,
-            priority: search.policy.priority,
-            searches: vec![name.clone()],
+            priority,
+            searches: vec![search.clone()],
         };
-        self.put(name, &EntryValue::Plan(Some(plan)))?;
-        let token = blake3::hash(Self::token(name).as_bytes());
+        self.put(class, &EntryValue::Plan(Some(plan)))?;
+        let token = blake3::hash(Self::token(class).as_bytes());
         let customer = CustomerSpec {
-            plan: name.clone(),
+            plan: class.clone(),
             token_hash: token.to_hex().as_str().into(),
         };
-        self.put(name, &EntryValue::Customer(Some(customer)))?;
+        self.put(class, &EntryValue::Customer(Some(customer)))?;
         Ok(())
     }
 
--- a/crates/cornelwinch_lab/src/shape.rs
+++ b/crates/cornelwinch_lab/src/shape.rs
@@ -27,6 +27,8 @@
     pub cold: ColdStart,
     /// Policy of the search's class.
     pub policy: ClassPolicy,
+    /// Further classes, each with a customer of the same name.
+    pub classes: Vec<(Name, ClassPolicy)>,
 }
 
 /// A deployment: availability zones, hosts and searches.
@@ -104,9 +106,18 @@
                 priority: 1,
                 hedge_quantile: Some(0.985),
             },
+            classes: Vec::new(),
         }
     }
 
+    /// All classes with their policies, the one named as the search first.
+    pub(crate) fn all_classes(&self) -> Vec<(Name, ClassPolicy)> {
+        let own = (self.name.clone(), self.policy.clone());
+        std::iter::once(own)
+            .chain(self.classes.iter().cloned())
+            .collect()
+    }
+
     fn limited(mut self, slots: u32, connections: u32, connection_delay_ms: u64) -> Self {
         self.slots = slots;
         self.connections = connections;
--- a/examples/measure/hosts.rs
+++ b/examples/measure/hosts.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use cornelwinch_lab::{Deployment, DeploymentShape, HostProcess, SearchShape};
+use cornelwinch_standins::upstream::Upstream;
 
 use crate::load::{ms, offer_targets};
 use crate::{Outcome, host_program};
@@ -55,7 +56,11 @@
             .map_err(|_| "the thread of the faults panicked")??;
         Ok(report)
     })?;
-    let counters: Vec<_> = deployment.upstreams.iter().map(|u| u.counters()).collect();
+    let counters: Vec<_> = deployment
+        .upstreams
+        .iter()
+        .map(Upstream::counters)
+        .collect();
     let total = &report.total;
     println!(
         "{slots:>5} {:>8} {:>6} {:>8.1} {:>8.1} {:>9.4} {:>9.4} {:>8} {:>8} {:>6}",
--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -7,6 +7,7 @@
 mod hosts;
 mod load;
 mod owner;
+mod plans;
 mod scale;
 mod tail;
 mod zone;
@@ -30,8 +31,9 @@
         ["zone"] => zone::measure(),
         ["cold"] => cold::measure(),
         ["hosts"] => hosts::measure(),
+        ["plans"] => plans::measure(),
         ["scale", ref counts @ ..] => scale::measure(counts),
-        _ => Err("usage: measure owner|tail|zone|cold|hosts|scale [HOSTS ...]".into()),
+        _ => Err("usage: measure owner|tail|zone|cold|hosts|plans|scale [HOSTS ...]".into()),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
