Protect urgent classes under overload

Cause: urgent legs waited for running legs of lower priority, and queries of the low class ran in part: their legs were refused one by one. Ruled out: the order of the queue (urgent legs were always first), the hedges (p99 of the low class was its deadline). Change: while an urgent priority is in use, lower ones leave one slot of an upstream free; a host admits fewer whole queries of the lowest priority in use while queries end incomplete because of load.

--- a/crates/cornelwinch_admission/src/lib.rs
+++ b/crates/cornelwinch_admission/src/lib.rs
@@ -7,7 +7,9 @@
 mod exchange;
 mod ledger;
 mod message;
+mod overload;
 mod views;
 
 pub use admission::{Admission, AdmissionConfig, Admitted, Credential, Rejection};
 pub use message::{AdmissionAction, AdmissionMsg, Portion, Resource};
+pub use overload::Overload;
--- a/crates/cornelwinch_host/src/host.rs
+++ b/crates/cornelwinch_host/src/host.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use cornelwinch_admission::{Admission, AdmissionAction, AdmissionConfig};
+use cornelwinch_admission::{Admission, AdmissionAction, AdmissionConfig, Overload};
 use cornelwinch_gather::{GatherConfig, GatherStats};
 use cornelwinch_membership::{Membership, MembershipAction, MembershipConfig};
 use cornelwinch_placement::Placement;
@@ -68,6 +68,7 @@
     pub(crate) placement: Placement,
     pub(crate) sync: ConfigSync,
     pub(crate) admission: Admission,
+    pub(crate) overload: Overload,
     pub(crate) stats: GatherStats,
     pub(crate) queries: Queries,
     pub(crate) ticketing: Ticketing,
@@ -118,6 +119,7 @@
                 AdmissionConfig::default(),
                 rng.fork(),
             ),
+            overload: Overload::default(),
             stats: GatherStats::new(GatherConfig::new(me.zone.clone()), rng.fork()),
             queries: Queries::new(cfg.queries),
             ticketing: Ticketing::open(now, &me, rng.u64(..)),
--- a/crates/cornelwinch_host/src/queries.rs
+++ b/crates/cornelwinch_host/src/queries.rs
@@ -2,7 +2,7 @@
 
 use cornelwinch_admission::Credential;
 use cornelwinch_gather::{Answer, Gather, GatherAction, QuerySpec};
-use cornelwinch_types::{AttemptId, Fingerprint, LegResult, Name, QueryId, SortedMap};
+use cornelwinch_types::{AttemptId, Fingerprint, LegResult, Name, QueryId, Refusal, SortedMap};
 
 use crate::router::LegOrigin;
 use crate::{Action, CallerAnswer, CallerRequest, Host, QueryRequest, Rejection, RequestLabel};
@@ -16,6 +16,8 @@
     caller: u64,
     label: RequestLabel,
     wake: Option<Instant>,
+    /// Legs were refused because of load.
+    met_load: bool,
 }
 
 /// Queries of this host that are in progress.
@@ -139,6 +141,10 @@
             return Err((RequestLabel::none(), Rejection::Overloaded));
         }
         let admitted = self.admit(now, &query)?;
+        if !self.overload.admit(now, admitted.priority) {
+            self.release_admitted(now, &admitted.label.customer);
+            return Err((admitted.label, Rejection::Overloaded));
+        }
         let id = QueryId(self.queries.next);
         self.queries.next += 1;
         let spec = QuerySpec {
@@ -160,6 +166,7 @@
             gather,
             caller,
             label: admitted.label,
+            met_load: false,
         };
         self.queries.active.insert(id, active);
         self.on_gather_actions(now, id, actions, out);
@@ -181,6 +188,7 @@
         if !matches!(result, LegResult::Answer(_)) {
             log::debug!("event=leg_not_answered query={id} attempt={attempt} result={result:?}");
         }
+        query.met_load |= is_load_refusal(&result);
         let mut actions = Vec::new();
         query
             .gather
@@ -251,6 +259,11 @@
             return;
         };
         self.release_admitted(now, &query.label.customer);
+        if answer.missing.is_empty() {
+            self.overload.on_served(now);
+        } else if query.met_load {
+            self.overload.on_overloaded(now);
+        }
         out.push(Action::Reply {
             caller: query.caller,
             label: query.label,
@@ -258,3 +271,12 @@
         });
     }
 }
+
+/// Reports whether a leg did not run because its owner or upstream had too much
+/// to do.
+fn is_load_refusal(result: &LegResult) -> bool {
+    matches!(
+        result,
+        LegResult::Refused(Refusal::Overloaded | Refusal::Shed | Refusal::DeadlinePassed)
+    )
+}
--- a/crates/cornelwinch_limiter/src/dispatch.rs
+++ b/crates/cornelwinch_limiter/src/dispatch.rs
@@ -42,7 +42,8 @@
     /// Sends waiting legs while the limit allows it.
     pub(crate) fn pump(&mut self, now: Instant, out: &mut Vec<LimiterAction>) {
         self.end_holds(now);
-        while self.in_flight.len() < self.cap(now)
+        while let Some(priority) = self.queue.next_priority()
+            && self.in_flight.len() < self.reserve.cap(now, priority, self.cap(now))
             && let Some(mut execution) = self.queue.pop()
         {
             let service = self.ramp.service();
--- a/crates/cornelwinch_limiter/src/lib.rs
+++ b/crates/cornelwinch_limiter/src/lib.rs
@@ -8,6 +8,7 @@
 mod limiter;
 mod queue;
 mod ramp;
+mod reserve;
 mod signs;
 
 pub use config::{HandoverState, LimiterAction, LimiterConfig, Start};
--- a/crates/cornelwinch_limiter/src/limiter.rs
+++ b/crates/cornelwinch_limiter/src/limiter.rs
@@ -9,6 +9,7 @@
 use crate::in_flight::{InFlight, SLOT_GRACE, addressed, checked};
 use crate::queue::{Queue, Waiter};
 use crate::ramp::Ramp;
+use crate::reserve::Reserve;
 
 /// Longest budget of a leg; a longer one is shortened.
 const MAX_BUDGET: Duration = Duration::from_secs(3600);
@@ -57,6 +58,7 @@
     pub(crate) ramp: Ramp,
     pub(crate) circuit: Circuit,
     pub(crate) queue: Queue,
+    pub(crate) reserve: Reserve,
     pub(crate) in_flight: Vec<InFlight>,
     pub(crate) restart_id: Option<u64>,
     /// Number of restarts seen.
@@ -106,6 +108,7 @@
             ramp: Ramp::open(&cfg, warm_limit),
             circuit: Circuit::open(),
             queue: Queue::default(),
+            reserve: Reserve::default(),
             in_flight: Vec::new(),
             restart_id,
             run: 0,
@@ -142,6 +145,7 @@
             return;
         }
         self.submitted += 1;
+        self.reserve.on_leg(now, req.priority);
         let deadline = now + req.budget.min(MAX_BUDGET);
         let waiter = Waiter {
             req,
@@ -246,7 +250,11 @@
         let pause = (!self.queue.is_empty())
             .then_some(self.ramp.pause_until())
             .flatten();
+        let reserve = (!self.queue.is_empty())
+            .then_some(self.reserve.ends_at())
+            .flatten();
         waiting
+            .chain(reserve)
             .chain(sent)
             .chain(holds.into_iter().flatten())
             .chain(pause)
@@ -402,6 +410,7 @@
             self.inherited = 0;
         }
         self.ramp.end_pause(now);
+        self.reserve.expire(now);
     }
 
     pub(crate) fn refuse_leaving(&mut self, out: &mut Vec<LimiterAction>) {
--- a/crates/cornelwinch_limiter/src/queue.rs
+++ b/crates/cornelwinch_limiter/src/queue.rs
@@ -86,6 +86,11 @@
         self.place(execution);
     }
 
+    /// Priority of the next leg.
+    pub(crate) fn next_priority(&self) -> Option<u8> {
+        self.executions.front().map(|execution| execution.key().0)
+    }
+
     pub(crate) fn pop(&mut self) -> Option<Execution> {
         let execution = self.executions.pop_front()?;
         self.legs -= execution.waiters.len();
