Test coverage and quarantine against models

Cause: nothing checked that answers are consistent, or that a request that crashes upstreams stops after two of them. A cancelled attempt without a result counts as running for 5 s.

--- a/crates/cornelwinch_gather/src/dispatch.rs
+++ b/crates/cornelwinch_gather/src/dispatch.rs
@@ -88,10 +88,9 @@
             return Some(Admit::Run);
         };
         let range = snapshot.shards[shard].range;
-        let admit = stats
-            .quarantine
-            .admit(now, self.spec.fingerprint, range, false);
+        let admit = stats.quarantine.admit(now, self.spec.fingerprint, range);
         if admit == Admit::Wait {
+            leg.retry_at = None;
             self.held_until = Some(now + HELD_POLL);
         }
         if admit != Admit::Run {
@@ -147,9 +146,7 @@
             return Admit::Run;
         };
         let range = snapshot.shards[shard].range;
-        let admit = stats
-            .quarantine
-            .admit(now, self.spec.fingerprint, range, true);
+        let admit = stats.quarantine.admit(now, self.spec.fingerprint, range);
         if admit != Admit::Run {
             return admit;
         }
--- a/crates/cornelwinch_gather/src/gather.rs
+++ b/crates/cornelwinch_gather/src/gather.rs
@@ -196,8 +196,7 @@
         if self.finished {
             return None;
         }
-        let open = self.legs.iter().filter(|leg| leg.answer.is_none());
-        let timers = open.flat_map(|leg| [leg.retry_at, leg.hedge_at]).flatten();
+        let timers = self.legs.iter().filter_map(Leg::next_wake);
         let ends = [Some(self.spec.deadline), self.partial_at, self.held_until];
         timers.chain(ends.into_iter().flatten()).min()
     }
--- a/crates/cornelwinch_gather/src/leg.rs
+++ b/crates/cornelwinch_gather/src/leg.rs
@@ -42,6 +42,17 @@
         self.answer.is_none() && self.live.is_empty() && !self.given_up
     }
 
+    /// Returns the time of the next attempt or hedge.
+    pub(crate) fn next_wake(&self) -> Option<Instant> {
+        if self.is_idle() {
+            self.retry_at
+        } else if self.live.is_empty() {
+            None
+        } else {
+            self.hedge_at
+        }
+    }
+
     /// Reports whether the leg can change the answer no more.
     pub(crate) fn is_settled(&self) -> bool {
         self.answer.is_some() || (self.given_up && self.live.is_empty())
--- a/crates/cornelwinch_gather/src/quarantine.rs
+++ b/crates/cornelwinch_gather/src/quarantine.rs
@@ -129,14 +129,11 @@
         now: Instant,
         fingerprint: Fingerprint,
         range: KeyRange,
-        hedge: bool,
     ) -> Admit {
         if self.is_marked(now, fingerprint) {
             return Admit::Quarantined;
         }
-        let admit = self
-            .suspects
-            .admit(now, &self.config, fingerprint, range, hedge);
+        let admit = self.suspects.admit(now, &self.config, fingerprint, range);
         if admit == Admit::Quarantined {
             self.mark(now, fingerprint);
         }
--- a/crates/cornelwinch_gather/src/suspect.rs
+++ b/crates/cornelwinch_gather/src/suspect.rs
@@ -13,6 +13,9 @@
 const EVENTS_MAX: usize = 4096;
 /// Time for which the result of a cancelled attempt is awaited.
 const ABANDONED_TTL: Duration = Duration::from_secs(60);
+/// Time for which a cancelled attempt without a result counts as running: an
+/// upstream may crash after the deadline of the query.
+const ABANDONED_EXPOSED: Duration = Duration::from_secs(5);
 /// Largest number of cancelled attempts whose results are awaited.
 const ABANDONED_MAX: usize = 4096;
 /// Requests remembered as answered, in each of two generations.
@@ -81,7 +84,8 @@
     started: Instant,
     /// The request had been answered when the attempt started.
     proven: bool,
-    abandoned: bool,
+    /// Time of its cancellation.
+    abandoned: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -100,7 +104,6 @@
         config: &QuarantineConfig,
         fingerprint: Fingerprint,
         range: KeyRange,
-        hedge: bool,
     ) -> Admit {
         let proven = self.is_proven(fingerprint);
         let Ok(i) = self.find(fingerprint) else {
@@ -115,7 +118,7 @@
             track
                 .running
                 .iter()
-                .filter(|r| !r.abandoned && f(r))
+                .filter(|r| r.is_exposed(now) && f(r))
                 .count()
         };
         if track.losses.is_empty() {
@@ -136,11 +139,7 @@
         } else {
             suspect && count(&|r| r.range.overlaps(range)) > 0
         };
-        if busy || (hedge && suspect) {
-            Admit::Wait
-        } else {
-            Admit::Run
-        }
+        if busy { Admit::Wait } else { Admit::Run }
     }
 
     pub(crate) fn start(
@@ -170,7 +169,7 @@
             upstream,
             started,
             proven,
-            abandoned: false,
+            abandoned: None,
         };
         self.tracks[i].running.push(running);
     }
@@ -191,7 +190,7 @@
             return;
         };
         if ended == Ended::Abandoned {
-            track.running[j].abandoned = true;
+            track.running[j].abandoned = Some(now);
             self.abandoned.push_back((attempt, fingerprint, now));
             self.expire_abandoned(now);
             return;
@@ -336,7 +335,7 @@
             if let Ok(i) = self.find(fingerprint) {
                 self.tracks[i]
                     .running
-                    .retain(|r| r.attempt != attempt || !r.abandoned);
+                    .retain(|r| r.attempt != attempt || r.abandoned.is_none());
             }
             self.drop_if_idle(fingerprint);
         }
@@ -373,6 +372,15 @@
     }
 }
 
+impl Running {
+    /// Reports whether the attempt may still crash its upstream.
+    fn is_exposed(&self, now: Instant) -> bool {
+        let since = |at| now.saturating_duration_since(at);
+        self.abandoned
+            .is_none_or(|at| since(at) < ABANDONED_EXPOSED)
+    }
+}
+
 impl Track {
     /// Reports whether the next attempt waits until the losses are weighed.
     fn is_undecided(&self) -> bool {
--- /dev/null
+++ b/crates/cornelwinch_gather/tests/snapshot_coverage.rs
@@ -0,0 +1,420 @@
+//! Guards against answers that mix snapshots, state a wrong coverage, contain
+//! foreign rows, or say `NotRun` although a leg ran.
+
+mod common;
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashSet};
+use std::time::{Duration, Instant};
+
+use common::{config, iterations, ms};
+use cornelwinch_config::ClassPolicy;
+use cornelwinch_gather::{
+    Answer, AnswerReason, Gather, GatherAction, GatherConfig, GatherStats, QuerySpec,
+};
+use cornelwinch_types::{
+    Hit, KeyRange, LegAnswer, LegFailure, LegRequest, LegResult, Name, Outcome, Refusal, Shard,
+    Snapshot, SnapshotId,
+};
+use fastrand::Rng;
+
+const KEYS: u64 = 400;
+const UPSTREAMS: usize = 10;
+const QUERIES: usize = 10;
+
+#[allow(clippy::large_enum_variant)] // Most events are results.
+enum Event {
+    Arrive,
+    Change,
+    Wake(usize),
+    Result(usize, LegRequest, LegResult),
+}
+
+struct Query {
+    gather: Gather,
+    spec: QuerySpec,
+    ran: bool,
+    answer: Option<Answer>,
+}
+
+struct World {
+    seed: u64,
+    rng: Rng,
+    base: Instant,
+    at: u64,
+    heap: BinaryHeap<Reverse<(u64, usize)>>,
+    events: Vec<Option<Event>>,
+    stats: GatherStats,
+    snapshots: Vec<Snapshot>,
+    held: Vec<Vec<SnapshotId>>,
+    out_of_service: Vec<bool>,
+    lost: Vec<bool>,
+    queries: Vec<Query>,
+    attempts: HashSet<u64>,
+}
+
+/// Documents of a snapshot: about a third of the keys, others in each snapshot.
+fn documents(id: SnapshotId, range: KeyRange) -> Vec<Hit> {
+    let is_document = |key: &u64| (key * 7 + id.0 * 5) % 11 < 4;
+    let hit = |key| Hit {
+        key,
+        text: format!("{id}:{key}").into(),
+    };
+    (range.start..range.end)
+        .filter(is_document)
+        .map(hit)
+        .collect()
+}
+
+fn upstream(i: usize) -> Name {
+    format!("u{i}").into()
+}
+
+fn join(ranges: impl Iterator<Item = KeyRange>) -> Vec<KeyRange> {
+    let mut joined: Vec<KeyRange> = Vec::new();
+    for range in ranges {
+        match joined.last_mut() {
+            Some(last) if last.end == range.start => last.end = range.end,
+            _ => joined.push(range),
+        }
+    }
+    joined
+}
+
+impl World {
+    fn run(seed: u64) {
+        let rng = Rng::with_seed(seed);
+        // Hedges are frequent: half as many as legs, from a latency of 5 ms on.
+        let mut warm = common::World::seeded(
+            GatherConfig {
+                hedge_ratio: 0.5,
+                ..config()
+            },
+            seed,
+        );
+        warm.warm(200, ms(5));
+        let (base, mut stats) = (warm.now, warm.stats);
+        stats.set_upstreams((0..UPSTREAMS).map(|i| (upstream(i), format!("z{}", i % 3).into())));
+        let mut world = Self {
+            seed,
+            rng,
+            base,
+            at: 0,
+            heap: BinaryHeap::new(),
+            events: Vec::new(),
+            stats,
+            snapshots: Vec::new(),
+            held: vec![Vec::new(); UPSTREAMS],
+            out_of_service: vec![false; UPSTREAMS],
+            lost: vec![false; UPSTREAMS],
+            queries: Vec::new(),
+            attempts: HashSet::new(),
+        };
+        world.add_snapshot();
+        for _ in 0..QUERIES {
+            let at = world.rng.u64(0..400);
+            world.schedule(at, Event::Arrive);
+            world.schedule(at + 17, Event::Change);
+        }
+        while let Some(Reverse((at, i))) = world.heap.pop() {
+            world.at = at;
+            match world.events[i].take() {
+                Some(Event::Arrive) => world.arrive(),
+                Some(Event::Change) => world.change(),
+                Some(Event::Wake(q)) => {
+                    let (now, mut out) = (world.now(), Vec::new());
+                    let gather = &mut world.queries[q].gather;
+                    if gather.next_wake().is_some_and(|wake| wake <= now) {
+                        gather.on_wake(now, &mut world.stats, &mut out);
+                        let next = gather.next_wake();
+                        assert!(
+                            next.is_none_or(|wake| wake > now),
+                            "seed {seed}: wake stays due"
+                        );
+                    }
+                    world.apply(q, out);
+                }
+                Some(Event::Result(q, leg, result)) => {
+                    let (now, mut out) = (world.now(), Vec::new());
+                    let gather = &mut world.queries[q].gather;
+                    gather.on_leg(now, leg.attempt, result, &mut world.stats, &mut out);
+                    world.apply(q, out);
+                }
+                None => {}
+            }
+        }
+        for query in &world.queries {
+            assert!(
+                query.answer.is_some(),
+                "seed {seed}: query {} unanswered",
+                query.spec.query
+            );
+        }
+        for i in 0..UPSTREAMS {
+            assert_eq!(
+                world.stats.outstanding(&upstream(i)),
+                0,
+                "seed {seed}: u{i}"
+            );
+        }
+    }
+
+    fn now(&self) -> Instant {
+        self.base + ms(self.at)
+    }
+
+    fn schedule(&mut self, at: u64, event: Event) {
+        self.heap.push(Reverse((at, self.events.len())));
+        self.events.push(Some(event));
+    }
+
+    /// Publishes the next snapshot with other shards; most upstreams load it.
+    fn add_snapshot(&mut self) {
+        let id = SnapshotId(self.snapshots.len() as u64 + 1);
+        let mut cuts: Vec<u64> = (0..self.rng.usize(1..8))
+            .map(|_| self.rng.u64(1..KEYS))
+            .collect();
+        cuts.extend([0, KEYS]);
+        cuts.sort_unstable();
+        cuts.dedup();
+        let mut shards = Vec::new();
+        for pair in cuts.windows(2) {
+            let range = KeyRange {
+                start: pair[0],
+                end: pair[1],
+            };
+            let mut all: Vec<usize> = (0..UPSTREAMS).collect();
+            self.rng.shuffle(&mut all);
+            let replicas = all[..self.rng.usize(1..4)]
+                .iter()
+                .map(|i| upstream(*i))
+                .collect();
+            shards.push(Shard {
+                range,
+                documents: documents(id, range).len() as u64,
+                replicas,
+            });
+        }
+        self.snapshots.push(Snapshot {
+            search: "portal".into(),
+            id,
+            shards,
+        });
+        for held in &mut self.held {
+            if self.rng.u8(..) < 230 {
+                held.push(id);
+            }
+        }
+    }
+
+    fn change(&mut self) {
+        let i = self.rng.usize(..UPSTREAMS);
+        match self.rng.u8(..8) {
+            0 | 1 if self.snapshots.len() < 4 => self.add_snapshot(),
+            2 => drop((!self.held[i].is_empty()).then(|| self.held[i].remove(0))),
+            3 => self.held[i] = self.snapshots.iter().map(|s| s.id).collect(),
+            4 | 5 => self.lost[i] = !self.lost[i],
+            _ => {
+                self.out_of_service[i] = !self.out_of_service[i];
+                self.stats.set_out(&upstream(i), self.out_of_service[i]);
+            }
+        }
+    }
+
+    fn arrive(&mut self) {
+        let now = self.now();
+        let body = self.rng.u8(..4).to_string();
+        let policy = ClassPolicy {
+            deadline_ms: self.rng.u64(20..300),
+            min_coverage: self.rng.f64(),
+            partial_after_ms: self.rng.bool().then(|| self.rng.u64(0..100)),
+            priority: 0,
+            hedge_quantile: self.rng.bool().then_some(0.5),
+        };
+        let spec = common::spec(self.queries.len() as u64, &body, now, policy);
+        let mut out = Vec::new();
+        let gather = Gather::start(
+            now,
+            spec.clone(),
+            &self.snapshots,
+            &mut self.stats,
+            &mut out,
+        );
+        self.queries.push(Query {
+            gather,
+            spec,
+            ran: false,
+            answer: None,
+        });
+        self.apply(self.queries.len() - 1, out);
+    }
+
+    fn apply(&mut self, q: usize, out: Vec<GatherAction>) {
+        let seed = self.seed;
+        for action in out {
+            assert!(
+                self.queries[q].answer.is_none(),
+                "seed {seed}: {action:?} after the answer"
+            );
+            match action {
+                GatherAction::Send(leg) => self.run_leg(q, leg),
+                GatherAction::Cancel { .. } => {}
+                GatherAction::Finish(answer) => {
+                    self.check(q, &answer);
+                    self.queries[q].answer = Some(answer);
+                }
+            }
+        }
+        if let Some(wake) = self.queries[q].gather.next_wake() {
+            let at = wake
+                .saturating_duration_since(self.base)
+                .as_nanos()
+                .div_ceil(1_000_000);
+            self.schedule((at as u64).max(self.at), Event::Wake(q));
+        }
+    }
+
+    /// Runs a leg on its fake upstream, which often misbehaves.
+    fn run_leg(&mut self, q: usize, leg: LegRequest) {
+        let seed = self.seed;
+        assert!(
+            self.attempts.insert(leg.attempt.0),
+            "seed {seed}: attempt {} twice",
+            leg.attempt
+        );
+        let i: usize = leg.upstream[1..].parse().expect("a number");
+        assert!(
+            !self.out_of_service[i],
+            "seed {seed}: leg to {} out of service",
+            leg.upstream
+        );
+        let deadline = self.queries[q].spec.deadline;
+        assert_eq!(leg.budget, deadline - self.now(), "seed {seed}: budget");
+        let held = self.held[i].clone();
+        let mut delay = self.rng.u64(1..10);
+        let hits = documents(leg.snapshot, leg.range);
+        let LegRequest {
+            attempt,
+            snapshot,
+            range,
+            ..
+        } = leg;
+        let mut answer = LegAnswer {
+            attempt,
+            snapshot,
+            range,
+            documents: hits.len() as u64,
+            hits,
+        };
+        let mut twice = false;
+        let result = match self.rng.u8(..40) {
+            _ if self.lost[i] => LegResult::Refused(Refusal::Unreachable),
+            _ if !held.contains(&snapshot) => LegResult::Refused(Refusal::SnapshotMissing { held }),
+            0 => LegResult::Refused(Refusal::Overloaded),
+            1 => LegResult::Refused(Refusal::NotOwner { owner: None }),
+            2 => LegResult::Failed(LegFailure::Disconnected),
+            3 => LegResult::Failed(LegFailure::Upstream),
+            fault => {
+                match fault {
+                    4 => delay += 400,
+                    5 => twice = true,
+                    6 => {
+                        answer.attempt.0 ^= 1;
+                        answer.hits = vec![Hit {
+                            key: range.start,
+                            text: "crossed".into(),
+                        }];
+                    }
+                    7 => {
+                        answer.snapshot = SnapshotId(1 + snapshot.0 % 4);
+                        answer.hits = documents(answer.snapshot, range);
+                    }
+                    8 => answer.range.end += 1,
+                    9 => answer.hits.push(Hit {
+                        key: range.end,
+                        text: "foreign".into(),
+                    }),
+                    10 => answer.documents += 1,
+                    11 | 12 => delay += self.rng.u64(10..60),
+                    _ => {}
+                }
+                LegResult::Answer(answer)
+            }
+        };
+        self.queries[q].ran |= !matches!(result, LegResult::Refused(_));
+        if twice {
+            self.schedule(
+                self.at + delay + 3,
+                Event::Result(q, leg.clone(), result.clone()),
+            );
+        }
+        self.schedule(self.at + delay, Event::Result(q, leg, result));
+    }
+
+    fn check(&self, q: usize, answer: &Answer) {
+        let (seed, query) = (self.seed, &self.queries[q]);
+        let context = format!("seed {seed}: {answer:?}");
+        assert!(
+            self.now() <= query.spec.deadline + Duration::from_millis(1),
+            "{context}"
+        );
+        match answer.outcome {
+            Outcome::NotRun => assert!(!query.ran, "ran, {context}"),
+            Outcome::Unknown => assert!(answer.covered.is_empty(), "{context}"),
+            Outcome::Done => assert!(!answer.covered.is_empty(), "{context}"),
+        }
+        let Some(id) = answer.snapshot else {
+            assert!(
+                answer.hits.is_empty() && answer.coverage == 0.0,
+                "{context}"
+            );
+            return;
+        };
+        let snapshot = self
+            .snapshots
+            .iter()
+            .find(|s| s.id == id)
+            .expect("a known snapshot");
+        let hits: Vec<Hit> = answer
+            .covered
+            .iter()
+            .flat_map(|r| documents(id, *r))
+            .collect();
+        assert_eq!(answer.hits, hits, "{context}");
+        assert_eq!(answer.documents_covered, hits.len() as u64, "{context}");
+        assert_eq!(answer.documents_total, snapshot.documents(), "{context}");
+        let is_covered = |r: KeyRange| answer.covered.iter().any(|c| c.overlaps(r));
+        let ranges = || snapshot.shards.iter().map(|s| s.range);
+        assert_eq!(
+            answer.covered,
+            join(ranges().filter(|r| is_covered(*r))),
+            "{context}"
+        );
+        assert_eq!(
+            answer.missing,
+            join(ranges().filter(|r| !is_covered(*r))),
+            "{context}"
+        );
+        let share = hits.len() as f64 / snapshot.documents() as f64;
+        let coverage = if answer.missing.is_empty() {
+            1.0
+        } else {
+            share
+        };
+        assert!((answer.coverage - coverage).abs() < 1e-12, "{context}");
+        let short = answer.covered.is_empty() || coverage < query.spec.policy.min_coverage;
+        assert_eq!(answer.reason.is_some(), short, "{context}");
+        let insufficient = answer.reason == Some(AnswerReason::InsufficientCoverage);
+        assert!(
+            !insufficient || answer.outcome != Outcome::NotRun,
+            "{context}"
+        );
+    }
+}
+
+#[test]
+fn answers_match_the_model() {
+    for seed in 0..iterations() {
+        World::run(seed);
+    }
+}
