--- a/crates/cornelwinch_gather/tests/common/mod.rs
+++ b/crates/cornelwinch_gather/tests/common/mod.rs
@@ -150,6 +150,10 @@
         while let Some(wake) = gather.next_wake().filter(|wake| *wake <= end) {
             self.now = self.now.max(wake);
             gather.on_wake(self.now, &mut self.stats, &mut self.out);
+            assert!(
+                gather.next_wake().is_none_or(|wake| wake > self.now),
+                "wake stays due"
+            );
         }
         self.now = end;
         self.sent()
