Learn of hanging upstreams and spread canaries over zones

Ruled out: ending a canary's exposure after some patience: a request that crashes late would take down two more upstreams with each wait. Change: at the deadline, an attempt that took four times the usual latency counts as a failure of its upstream; the second canary prefers another zone; a restart also when the only other replica fails; unread new marks are bounded. The randomised test's harness is shorter, its checks are the same. Conclusion: a hanging upstream costs two queries of a host, not one each time.

--- a/crates/cornelwinch_gather/src/dispatch.rs
+++ b/crates/cornelwinch_gather/src/dispatch.rs
@@ -72,8 +72,13 @@
         out: &mut Vec<GatherAction>,
     ) -> Option<Admit> {
         let snapshot = &self.snapshots[*self.used.last()?];
+        // Two canaries in one zone would both hang if the zone does, and the
+        // other legs would never start.
+        let canary = self.legs.iter().find_map(|leg| leg.live.first());
+        let canary = canary.filter(|_| !stats.quarantine.is_proven(self.spec.fingerprint));
+        let avoid = canary.and_then(|live| stats.zone(&live.upstream)).cloned();
         let leg = &mut self.legs[shard];
-        let pick = pick_replica(now, snapshot, shard, leg, stats);
+        let pick = pick_replica(now, snapshot, shard, leg, avoid.as_ref(), stats);
         let Pick::Replica(upstream) = pick else {
             if pick != Pick::Tried && self.restart(now, stats, out) {
                 return None;
--- a/crates/cornelwinch_gather/src/gather.rs
+++ b/crates/cornelwinch_gather/src/gather.rs
@@ -14,6 +14,12 @@
 /// multiply the load when there is too much of it.
 const OVERLOADS_MAX: u32 = 3;
 
+/// An attempt that takes this many times the quantile below hangs.
+const HANGING_FACTOR: u32 = 4;
+/// Stragglers at ten times the median are slow, not hanging; they lie above
+/// this quantile when one per cent of the legs straggles.
+const HANGING_QUANTILE: f64 = 0.95;
+
 /// One query, from its start to its answer.
 ///
 /// ```
@@ -308,6 +314,9 @@
     }
 
     fn finish(&mut self, now: Instant, stats: &mut GatherStats, out: &mut Vec<GatherAction>) {
+        if now >= self.spec.deadline {
+            self.blame_hanging(now, stats);
+        }
         for shard in 0..self.legs.len() {
             self.cancel_leg(now, shard, stats, out);
         }
@@ -356,6 +365,23 @@
         out.push(GatherAction::Finish(answer));
     }
 
+    /// Counts a failure of each upstream that kept an attempt until the deadline
+    /// for much longer than usual. Its cancellation would hide that it hangs.
+    fn blame_hanging(&self, now: Instant, stats: &mut GatherStats) {
+        let QuerySpec { search, class, .. } = &self.spec;
+        let Some(usual) = stats
+            .latencies
+            .quantile(now, search, class, HANGING_QUANTILE)
+        else {
+            return;
+        };
+        for live in self.legs.iter().flat_map(|leg| &leg.live) {
+            if now.saturating_duration_since(live.sent) >= usual * HANGING_FACTOR {
+                stats.upstream(&live.upstream).on_failure(now, false);
+            }
+        }
+    }
+
     fn refuse(&mut self, reason: AnswerReason, out: &mut Vec<GatherAction>) {
         let outcome = if self.ran {
             Outcome::Unknown
--- a/crates/cornelwinch_gather/src/quarantine.rs
+++ b/crates/cornelwinch_gather/src/quarantine.rs
@@ -140,6 +140,11 @@
         admit
     }
 
+    /// Reports whether the request was answered lately.
+    pub(crate) fn is_proven(&self, fingerprint: Fingerprint) -> bool {
+        self.suspects.is_proven(fingerprint)
+    }
+
     pub(crate) fn start(
         &mut self,
         now: Instant,
@@ -176,7 +181,9 @@
             self.config.ttl
         );
         self.add(now, fingerprint, self.config.ttl);
-        self.fresh.push((fingerprint, self.config.ttl));
+        if self.fresh.len() < self.config.marks {
+            self.fresh.push((fingerprint, self.config.ttl));
+        }
         self.suspects.forget(fingerprint);
     }
 }
--- a/crates/cornelwinch_gather/src/select.rs
+++ b/crates/cornelwinch_gather/src/select.rs
@@ -70,12 +70,14 @@
 
 /// Chooses the replica for the next attempt at a leg: of two random replicas
 /// of the best service level, the one with the lower cost. A replica of the
-/// host's own availability zone is always one of the two.
+/// host's own availability zone is always one of the two. Replicas in the
+/// zone `avoid` are used only if there is no other.
 pub(crate) fn pick_replica(
     now: Instant,
     snapshot: &Snapshot,
     shard: usize,
     leg: &Leg,
+    avoid: Option<&Name>,
     stats: &mut GatherStats,
 ) -> Pick {
     let replicas = &snapshot.shards[shard].replicas;
@@ -99,9 +101,20 @@
         .max()
         .unwrap_or(Service::None);
     if level < Service::Doubtful {
-        return Pick::Tried;
+        // The replica that may hold the snapshot fails, the others lack it.
+        let lacking = replicas.iter().any(|name| service(name) == Service::Lacks);
+        let failing = best == Service::Doubtful;
+        return if lacking && failing {
+            Pick::Lacking
+        } else {
+            Pick::Tried
+        };
     }
     open.retain(|(service, _)| *service == level);
+    let elsewhere = |name: &Name| avoid.is_some() && stats.zone(name) != avoid;
+    if open.iter().any(|(_, name)| elsewhere(name)) {
+        open.retain(|(_, name)| elsewhere(name));
+    }
     stats.rng.shuffle(&mut open);
     let cost = |name: &Name| stats.cost(now, name);
     let local = |name: &Name| stats.is_local(name);
--- a/crates/cornelwinch_gather/src/stats.rs
+++ b/crates/cornelwinch_gather/src/stats.rs
@@ -223,10 +223,16 @@
             .map_or(0, |i| self.upstreams[i].cost(now, &self.config.zone))
     }
 
+    /// Returns the availability zone of an upstream.
+    pub(crate) fn zone(&self, upstream: &Name) -> Option<&Name> {
+        self.find(upstream)
+            .ok()
+            .and_then(|i| self.upstreams[i].zone.as_ref())
+    }
+
     /// Reports whether the upstream is in the host's own availability zone.
     pub(crate) fn is_local(&self, upstream: &Name) -> bool {
-        self.find(upstream)
-            .is_ok_and(|i| self.upstreams[i].zone.as_ref() == Some(&self.config.zone))
+        self.zone(upstream) == Some(&self.config.zone)
     }
 
     pub(crate) fn upstream(&mut self, name: &Name) -> &mut UpstreamView {
--- a/crates/cornelwinch_gather/src/suspect.rs
+++ b/crates/cornelwinch_gather/src/suspect.rs
@@ -350,7 +350,7 @@
         }
     }
 
-    fn is_proven(&self, fingerprint: Fingerprint) -> bool {
+    pub(crate) fn is_proven(&self, fingerprint: Fingerprint) -> bool {
         self.proven
             .iter()
             .any(|generation| generation.binary_search(&fingerprint).is_ok())
--- a/crates/cornelwinch_gather/tests/common/mod.rs
+++ b/crates/cornelwinch_gather/tests/common/mod.rs
@@ -160,27 +160,26 @@
     }
 
     pub fn sent(&mut self) -> Vec<LegRequest> {
-        let mut legs = Vec::new();
-        self.out.retain(|action| match action {
-            GatherAction::Send(leg) => {
-                legs.push(leg.clone());
-                false
-            }
-            _ => true,
-        });
-        legs
+        let sends = self
+            .out
+            .extract_if(.., |action| matches!(action, GatherAction::Send(_)));
+        let leg = |action| match action {
+            GatherAction::Send(leg) => Some(leg),
+            _ => None,
+        };
+        sends.filter_map(leg).collect()
     }
 
     pub fn cancelled(&mut self) -> Vec<AttemptId> {
-        let mut attempts = Vec::new();
-        self.out.retain(|action| match action {
-            GatherAction::Cancel { attempt, .. } => {
-                attempts.push(*attempt);
-                false
-            }
-            _ => true,
-        });
-        attempts
+        let is_cancel = |action: &mut _| matches!(action, GatherAction::Cancel { .. });
+        let attempt = |action| match action {
+            GatherAction::Cancel { attempt, .. } => Some(attempt),
+            _ => None,
+        };
+        self.out
+            .extract_if(.., is_cancel)
+            .filter_map(attempt)
+            .collect()
     }
 
     pub fn finished(&mut self) -> Option<Answer> {
--- a/crates/cornelwinch_gather/tests/crash_quarantine.rs
+++ b/crates/cornelwinch_gather/tests/crash_quarantine.rs
@@ -8,7 +8,7 @@
 
 use common::{DISCONNECTED, World, answer, config, iterations, ms, snapshot};
 use cornelwinch_gather::{AnswerReason, Gather, Quarantine, QuarantineConfig};
-use cornelwinch_types::{Fingerprint, LegRequest, Outcome};
+use cornelwinch_types::{Fingerprint, LegRequest, LegResult, Outcome, Refusal};
 use fastrand::Rng;
 
 #[test]
@@ -186,6 +186,21 @@
     assert!(legs.is_empty(), "a third upstream is exposed");
 }
 
+#[test]
+fn refusal_of_an_owner_ends_the_query() {
+    let mut world = World::new(config());
+    world.prove("atlas");
+    let (mut gather, legs) = world.start("atlas", &[snapshot(1, 1, 3)]);
+    let refusal = LegResult::Refused(Refusal::Quarantined);
+    assert!(
+        world.result(&mut gather, &legs[0], refusal).is_empty(),
+        "tried elsewhere"
+    );
+    let answer = world.finished().expect("refused");
+    assert_eq!(answer.outcome, Outcome::NotRun);
+    assert_eq!(answer.reason, Some(AnswerReason::Quarantined));
+}
+
 #[test]
 fn marks_expire_and_are_bounded() {
     let now = std::time::Instant::now();
--- a/crates/cornelwinch_gather/tests/partial_answers.rs
+++ b/crates/cornelwinch_gather/tests/partial_answers.rs
@@ -74,3 +74,20 @@
         );
     }
 }
+
+#[test]
+fn caller_gone_cancels_every_leg() {
+    let mut world = World::new(config());
+    world.prove("atlas");
+    let (mut gather, legs) = world.start("atlas", &[snapshot(1, 3, 1)]);
+    world.result(&mut gather, &legs[0], answer(&legs[0]));
+    gather.cancel(world.now, &mut world.stats, &mut world.out);
+    let mut cancelled = world.cancelled();
+    cancelled.sort_unstable();
+    assert_eq!(cancelled, [legs[1].attempt, legs[2].attempt]);
+    assert!(world.out.is_empty() && gather.next_wake().is_none());
+    assert!(
+        legs.iter()
+            .all(|leg| world.stats.outstanding(&leg.upstream) == 0)
+    );
+}
--- a/crates/cornelwinch_gather/tests/replica_choice.rs
+++ b/crates/cornelwinch_gather/tests/replica_choice.rs
@@ -101,3 +101,37 @@
         );
     }
 }
+
+#[test]
+fn hanging_upstream_is_avoided() {
+    let mut world = World::new(config());
+    world.warm(200, ms(5));
+    world.policy.deadline_ms = 100;
+    world
+        .stats
+        .set_upstreams((0..3).map(|i| (format!("s0r{i}").into(), format!("z{i}").into())));
+    for _ in 0..2 {
+        let (mut gather, legs) = world.start("warm", &[snapshot(1, 1, 3)]);
+        assert_eq!(*legs[0].upstream, *"s0r0");
+        world.pass(&mut gather, ms(100));
+    }
+    let (_gather, legs) = world.start("warm", &[snapshot(1, 1, 3)]);
+    assert_ne!(
+        *legs[0].upstream, *"s0r0",
+        "two legs hung on it until the deadline"
+    );
+}
+
+#[test]
+fn canaries_use_two_zones() {
+    let mut world = World::new(config());
+    let upstream = |s, r| (format!("s{s}r{r}").into(), format!("z{r}").into());
+    world
+        .stats
+        .set_upstreams((0..5).flat_map(|s| (0..3).map(move |r| upstream(s, r))));
+    for i in 0..20 {
+        let (_gather, legs) = world.start(&i.to_string(), &[snapshot(1, 5, 3)]);
+        let zone = |leg: usize| legs[leg].upstream[3..].to_owned();
+        assert!(legs.len() == 2 && zone(0) != zone(1), "{legs:?}");
+    }
+}
--- a/crates/cornelwinch_gather/tests/snapshot_coverage.rs
+++ b/crates/cornelwinch_gather/tests/snapshot_coverage.rs
@@ -9,12 +9,10 @@
 
 use common::{config, iterations, ms};
 use cornelwinch_config::ClassPolicy;
-use cornelwinch_gather::{
-    Answer, AnswerReason, Gather, GatherAction, GatherConfig, GatherStats, QuerySpec,
-};
+use cornelwinch_gather::{Answer, AnswerReason, Gather, GatherAction, GatherStats, QuerySpec};
 use cornelwinch_types::{
-    Hit, KeyRange, LegAnswer, LegFailure, LegRequest, LegResult, Name, Outcome, Refusal, Shard,
-    Snapshot, SnapshotId,
+    Hit, KeyRange, LegFailure, LegRequest, LegResult, Name, Outcome, Refusal, Shard, Snapshot,
+    SnapshotId,
 };
 use fastrand::Rng;
 
@@ -56,14 +54,14 @@
 /// Documents of a snapshot: about a third of the keys, others in each snapshot.
 fn documents(id: SnapshotId, range: KeyRange) -> Vec<Hit> {
     let is_document = |key: &u64| (key * 7 + id.0 * 5) % 11 < 4;
-    let hit = |key| Hit {
-        key,
-        text: format!("{id}:{key}").into(),
-    };
-    (range.start..range.end)
-        .filter(is_document)
-        .map(hit)
-        .collect()
+    let hit = |key| hit(key, &format!("{id}:{key}"));
+    let keys = (range.start..range.end).filter(is_document);
+    keys.map(hit).collect()
+}
+
+fn hit(key: u64, text: &str) -> Hit {
+    let text = text.into();
+    Hit { key, text }
 }
 
 fn upstream(i: usize) -> Name {
@@ -85,13 +83,9 @@
     fn run(seed: u64) {
         let rng = Rng::with_seed(seed);
         // Hedges are frequent: half as many as legs, from a latency of 5 ms on.
-        let mut warm = common::World::seeded(
-            GatherConfig {
-                hedge_ratio: 0.5,
-                ..config()
-            },
-            seed,
-        );
+        let mut config = config();
+        config.hedge_ratio = 0.5;
+        let mut warm = common::World::seeded(config, seed);
         warm.warm(200, ms(5));
         let (base, mut stats) = (warm.now, warm.stats);
         stats.set_upstreams((0..UPSTREAMS).map(|i| (upstream(i), format!("z{}", i % 3).into())));
@@ -121,44 +115,34 @@
             match world.events[i].take() {
                 Some(Event::Arrive) => world.arrive(),
                 Some(Event::Change) => world.change(),
-                Some(Event::Wake(q)) => {
-                    let (now, mut out) = (world.now(), Vec::new());
-                    let gather = &mut world.queries[q].gather;
-                    if gather.next_wake().is_some_and(|wake| wake <= now) {
-                        gather.on_wake(now, &mut world.stats, &mut out);
-                        let next = gather.next_wake();
-                        assert!(
-                            next.is_none_or(|wake| wake > now),
-                            "seed {seed}: wake stays due"
-                        );
-                    }
-                    world.apply(q, out);
-                }
-                Some(Event::Result(q, leg, result)) => {
-                    let (now, mut out) = (world.now(), Vec::new());
-                    let gather = &mut world.queries[q].gather;
-                    gather.on_leg(now, leg.attempt, result, &mut world.stats, &mut out);
-                    world.apply(q, out);
-                }
+                Some(Event::Wake(q)) => world.handle(q, None),
+                Some(Event::Result(q, leg, result)) => world.handle(q, Some((leg, result))),
                 None => {}
             }
         }
         for query in &world.queries {
-            assert!(
-                query.answer.is_some(),
-                "seed {seed}: query {} unanswered",
-                query.spec.query
-            );
+            let id = query.spec.query;
+            assert!(query.answer.is_some(), "seed {seed}: {id} unanswered");
         }
         for i in 0..UPSTREAMS {
-            assert_eq!(
-                world.stats.outstanding(&upstream(i)),
-                0,
-                "seed {seed}: u{i}"
-            );
+            let outstanding = world.stats.outstanding(&upstream(i));
+            assert_eq!(outstanding, 0, "seed {seed}: u{i}");
         }
     }
 
+    fn handle(&mut self, q: usize, result: Option<(LegRequest, LegResult)>) {
+        let (seed, now, mut out) = (self.seed, self.now(), Vec::new());
+        let gather = &mut self.queries[q].gather;
+        if let Some((leg, result)) = result {
+            gather.on_leg(now, leg.attempt, result, &mut self.stats, &mut out);
+        } else {
+            gather.on_wake(now, &mut self.stats, &mut out);
+            let due = gather.next_wake().is_some_and(|wake| wake <= now);
+            assert!(!due, "seed {seed}: wake stays due");
+        }
+        self.apply(q, out);
+    }
+
     fn now(&self) -> Instant {
         self.base + ms(self.at)
     }
@@ -171,35 +155,30 @@
     /// Publishes the next snapshot with other shards; most upstreams load it.
     fn add_snapshot(&mut self) {
         let id = SnapshotId(self.snapshots.len() as u64 + 1);
-        let mut cuts: Vec<u64> = (0..self.rng.usize(1..8))
-            .map(|_| self.rng.u64(1..KEYS))
-            .collect();
-        cuts.extend([0, KEYS]);
+        let mut cuts = vec![0, KEYS];
+        for _ in 0..self.rng.usize(1..8) {
+            cuts.push(self.rng.u64(1..KEYS));
+        }
         cuts.sort_unstable();
         cuts.dedup();
         let mut shards = Vec::new();
         for pair in cuts.windows(2) {
-            let range = KeyRange {
-                start: pair[0],
-                end: pair[1],
-            };
-            let mut all: Vec<usize> = (0..UPSTREAMS).collect();
-            self.rng.shuffle(&mut all);
-            let replicas = all[..self.rng.usize(1..4)]
-                .iter()
-                .map(|i| upstream(*i))
-                .collect();
-            shards.push(Shard {
+            let (start, end) = (pair[0], pair[1]);
+            let range = KeyRange { start, end };
+            let documents = documents(id, range).len() as u64;
+            let mut replicas: Vec<Name> = (0..UPSTREAMS).map(upstream).collect();
+            self.rng.shuffle(&mut replicas);
+            replicas.truncate(self.rng.usize(1..4));
+            let shard = Shard {
                 range,
-                documents: documents(id, range).len() as u64,
+                documents,
                 replicas,
-            });
+            };
+            shards.push(shard);
         }
-        self.snapshots.push(Snapshot {
-            search: "portal".into(),
-            id,
-            shards,
-        });
+        let search = "portal".into();
+        let snapshot = Snapshot { search, id, shards };
+        self.snapshots.push(snapshot);
         for held in &mut self.held {
             if self.rng.u8(..) < 230 {
                 held.push(id);
@@ -233,29 +212,24 @@
         };
         let spec = common::spec(self.queries.len() as u64, &body, now, policy);
         let mut out = Vec::new();
-        let gather = Gather::start(
-            now,
-            spec.clone(),
-            &self.snapshots,
-            &mut self.stats,
-            &mut out,
-        );
-        self.queries.push(Query {
+        let (snapshots, stats) = (&self.snapshots, &mut self.stats);
+        let gather = Gather::start(now, spec.clone(), snapshots, stats, &mut out);
+        let (ran, answer) = (false, None);
+        let query = Query {
             gather,
             spec,
-            ran: false,
-            answer: None,
-        });
+            ran,
+            answer,
+        };
+        self.queries.push(query);
         self.apply(self.queries.len() - 1, out);
     }
 
     fn apply(&mut self, q: usize, out: Vec<GatherAction>) {
         let seed = self.seed;
         for action in out {
-            assert!(
-                self.queries[q].answer.is_none(),
-                "seed {seed}: {action:?} after the answer"
-            );
+            let over = self.queries[q].answer.is_some();
+            assert!(!over, "seed {seed}: {action:?} after the answer");
             match action {
                 GatherAction::Send(leg) => self.run_leg(q, leg),
                 GatherAction::Cancel { .. } => {}
@@ -266,10 +240,8 @@
             }
         }
         if let Some(wake) = self.queries[q].gather.next_wake() {
-            let at = wake
-                .saturating_duration_since(self.base)
-                .as_nanos()
-                .div_ceil(1_000_000);
+            let at = wake.saturating_duration_since(self.base).as_nanos();
+            let at = at.div_ceil(1_000_000);
             self.schedule((at as u64).max(self.at), Event::Wake(q));
         }
     }
@@ -277,35 +249,21 @@
     /// Runs a leg on its fake upstream, which often misbehaves.
     fn run_leg(&mut self, q: usize, leg: LegRequest) {
         let seed = self.seed;
-        assert!(
-            self.attempts.insert(leg.attempt.0),
-            "seed {seed}: attempt {} twice",
-            leg.attempt
-        );
+        let new = self.attempts.insert(leg.attempt.0);
+        assert!(new, "seed {seed}: attempt repeated: {leg:?}");
         let i: usize = leg.upstream[1..].parse().expect("a number");
-        assert!(
-            !self.out_of_service[i],
-            "seed {seed}: leg to {} out of service",
-            leg.upstream
-        );
+        let out = self.out_of_service[i];
+        assert!(!out, "seed {seed}: upstream out of service: {leg:?}");
         let deadline = self.queries[q].spec.deadline;
         assert_eq!(leg.budget, deadline - self.now(), "seed {seed}: budget");
         let held = self.held[i].clone();
         let mut delay = self.rng.u64(1..10);
-        let hits = documents(leg.snapshot, leg.range);
-        let LegRequest {
-            attempt,
-            snapshot,
-            range,
-            ..
-        } = leg;
-        let mut answer = LegAnswer {
-            attempt,
-            snapshot,
-            range,
-            documents: hits.len() as u64,
-            hits,
+        let (snapshot, range) = (leg.snapshot, leg.range);
+        let LegResult::Answer(mut answer) = common::answer(&leg) else {
+            unreachable!()
         };
+        answer.hits = documents(snapshot, range);
+        answer.documents = answer.hits.len() as u64;
         let mut twice = false;
         let result = match self.rng.u8(..40) {
             _ if self.lost[i] => LegResult::Refused(Refusal::Unreachable),
@@ -320,20 +278,14 @@
                     5 => twice = true,
                     6 => {
                         answer.attempt.0 ^= 1;
-                        answer.hits = vec![Hit {
-                            key: range.start,
-                            text: "crossed".into(),
-                        }];
+                        answer.hits = vec![hit(range.start, "crossed")];
                     }
                     7 => {
                         answer.snapshot = SnapshotId(1 + snapshot.0 % 4);
                         answer.hits = documents(answer.snapshot, range);
                     }
                     8 => answer.range.end += 1,
-                    9 => answer.hits.push(Hit {
-                        key: range.end,
-                        text: "foreign".into(),
-                    }),
+                    9 => answer.hits.push(hit(range.end, "foreign")),
                     10 => answer.documents += 1,
                     11 | 12 => delay += self.rng.u64(10..60),
                     _ => {}
--- a/crates/cornelwinch_gather/tests/snapshot_restart.rs
+++ b/crates/cornelwinch_gather/tests/snapshot_restart.rs
@@ -101,3 +101,15 @@
         "newest of equals"
     );
 }
+
+#[test]
+fn failing_replica_does_not_prevent_a_restart() {
+    let mut world = World::new(config());
+    let snapshots = [snapshot(1, 1, 2), snapshot(2, 1, 2)];
+    let (mut gather, legs) = world.start("atlas", &snapshots);
+    let other = world.result(&mut gather, &legs[0], missing());
+    let restarted = world.result(&mut gather, &other[0], UNREACHABLE);
+    assert_eq!(restarted.len(), 1);
+    assert_eq!(restarted[0].snapshot, SnapshotId(1));
+    assert_eq!(restarted[0].upstream, legs[0].upstream);
+}
