--- a/crates/cornelwinch_gather/src/quarantine.rs
+++ b/crates/cornelwinch_gather/src/quarantine.rs
@@ -129,20 +129,22 @@
         now: Instant,
         fingerprint: Fingerprint,
         range: KeyRange,
-        hedge: bool,
     ) -> Admit {
         if self.is_marked(now, fingerprint) {
             return Admit::Quarantined;
         }
-        let admit = self
-            .suspects
-            .admit(now, &self.config, fingerprint, range, hedge);
+        let admit = self.suspects.admit(now, &self.config, fingerprint, range);
         if admit == Admit::Quarantined {
             self.mark(now, fingerprint);
         }
         admit
     }
 
+    /// Reports whether the request was answered lately.
+    pub(crate) fn is_proven(&self, fingerprint: Fingerprint) -> bool {
+        self.suspects.is_proven(fingerprint)
+    }
+
     pub(crate) fn start(
         &mut self,
         now: Instant,
@@ -179,7 +181,9 @@
             self.config.ttl
         );
         self.add(now, fingerprint, self.config.ttl);
-        self.fresh.push((fingerprint, self.config.ttl));
+        if self.fresh.len() < self.config.marks {
+            self.fresh.push((fingerprint, self.config.ttl));
+        }
         self.suspects.forget(fingerprint);
     }
 }
