--- a/crates/cornelwinch_membership/src/exchange.rs
+++ b/crates/cornelwinch_membership/src/exchange.rs
@@ -17,9 +17,6 @@
 /// Time for which a change of a zone's reachability is sent ahead of probes.
 const ZONE_GOSSIP: Duration = Duration::from_secs(2);
 
-/// Time for which a zone that is reachable again is named in datagrams.
-const ZONE_REPEAT: Duration = Duration::from_secs(10);
-
 impl Membership {
     /// Takes a datagram from the socket.
     pub fn on_datagram(
@@ -196,7 +193,7 @@
             _ => Vec::new(),
         };
         let zones = if is_local {
-            self.zone_records(now, ZONE_REPEAT)
+            self.zone_records(now)
         } else {
             Vec::new()
         };
--- a/crates/cornelwinch_membership/src/reach.rs
+++ b/crates/cornelwinch_membership/src/reach.rs
@@ -14,6 +14,9 @@
 /// Failed probes in a row after which a delegate suspects a zone.
 const ZONE_MISSES: u32 = 3;
 
+/// Time for which a zone that is reachable again is named in datagrams.
+const ZONE_REPEAT: Duration = Duration::from_secs(10);
+
 impl Membership {
     pub(crate) fn is_delegate(&mut self) -> bool {
         let Some(at) = self.table.zone_at(&self.me.zone) else {
@@ -125,7 +128,12 @@
                 continue;
             };
             let zone = &mut self.table.zones_mut()[at];
-            if zone.name == self.me.zone || (version, reach) <= (zone.version, zone.reach) {
+            if zone.name == self.me.zone || (version, reach) == (zone.version, zone.reach) {
+                continue;
+            }
+            if (version, reach) < (zone.version, zone.reach) {
+                // The sender missed the change, for example during a pause.
+                zone.named_until = Some(now + ZONE_REPEAT);
                 continue;
             }
             zone.misses = 0;
@@ -170,6 +178,7 @@
         let before = std::mem::replace(&mut zone.reach, reach);
         zone.version = version;
         zone.reach_changed_at = Some(now);
+        zone.named_until = Some(now + ZONE_REPEAT);
         zone.deadline = (reach == Reach::Suspect).then(|| now + suspicion);
         self.next_gossip = self.next_gossip.max(now);
         if before == Reach::Unreachable {
@@ -184,12 +193,12 @@
         }
     }
 
-    /// Zones that are not reachable, or not for long.
-    pub(crate) fn zone_records(&self, now: Instant, repeat: Duration) -> Vec<ZoneRecord> {
-        let recent = |at: Option<Instant>| at.is_some_and(|at| now < at + repeat);
+    /// Zones that are not reachable, or whose change others may have missed.
+    pub(crate) fn zone_records(&self, now: Instant) -> Vec<ZoneRecord> {
+        let is_named = |until: Option<Instant>| until.is_some_and(|until| now < until);
         let zones = self.table.zones().iter();
         let named =
-            zones.filter(|zone| zone.reach != Reach::Reachable || recent(zone.reach_changed_at));
+            zones.filter(|zone| zone.reach != Reach::Reachable || is_named(zone.named_until));
         named
             .map(|zone| (zone.id, zone.version, zone.reach as u8))
             .collect()
--- a/crates/cornelwinch_membership/src/zone.rs
+++ b/crates/cornelwinch_membership/src/zone.rs
@@ -46,6 +46,8 @@
     pub(crate) reach: Reach,
     pub(crate) version: u32,
     pub(crate) reach_changed_at: Option<Instant>,
+    /// Time until which datagrams name the zone although it is reachable.
+    pub(crate) named_until: Option<Instant>,
     /// Time at which a suspect zone is marked unreachable.
     pub(crate) deadline: Option<Instant>,
     /// Last datagram from a host of the zone.
@@ -68,6 +70,7 @@
             reach: Reach::Reachable,
             version: 0,
             reach_changed_at: None,
+            named_until: None,
             deadline: None,
             heard_at: None,
             misses: 0,
