Probe every host of a zone once before any is probed again

Change: each round probes all hosts of the zone in a new random order; a host that joins gets a random place in the present round. The test new_host_is_probed_soon fails without the insertion. Conclusion: the wait for a probe is bounded by the number of hosts.

--- a/crates/cornelwinch_membership/src/membership.rs
+++ b/crates/cornelwinch_membership/src/membership.rs
@@ -56,6 +56,8 @@
     pub(crate) seq: u64,
     /// Number of the next probe.
     pub(crate) number: u64,
+    /// Hosts of the own zone to probe before any is probed again.
+    pub(crate) targets: Vec<Name>,
     pub(crate) probes: Vec<Probe>,
     pub(crate) relays: VecDeque<Relay>,
     /// Suspect hosts of the own zone.
@@ -127,6 +129,7 @@
             revision: Revision(0),
             seq: 0,
             number,
+            targets: Vec::new(),
             probes: Vec::new(),
             relays: VecDeque::new(),
             suspects: Vec::new(),
@@ -399,6 +402,9 @@
         if change.visible {
             out.push(MembershipAction::Changed(member.clone()));
         }
+        if change.digest {
+            self.add_target(member);
+        }
         let is_local = member.zone == self.me.zone;
         assert!(
             is_local || member.state != MemberState::Suspect,
--- a/crates/cornelwinch_membership/src/probe.rs
+++ b/crates/cornelwinch_membership/src/probe.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
-use cornelwinch_types::Name;
+use cornelwinch_types::{Member, MemberState, Name};
 
 use crate::codec::Body;
 use crate::{Membership, MembershipAction};
@@ -45,7 +45,7 @@
 impl Membership {
     /// Runs the work of one period.
     pub(crate) fn probe_period(&mut self, now: Instant, out: &mut Vec<MembershipAction>) {
-        if let Some(target) = self.random_peers(1, None).pop() {
+        if let Some(target) = self.next_target() {
             self.start_probe(now, target, None, out);
         }
         self.probe_suspects(now, out);
@@ -60,6 +60,38 @@
         }
     }
 
+    /// Next host of the own zone to probe: all in random order, then again in
+    /// another. Independent choices left a dead host of a small zone unprobed
+    /// for up to 6 s.
+    fn next_target(&mut self) -> Option<Name> {
+        let zone = self.table.zone(&self.me.zone)?;
+        if self.targets.is_empty() {
+            self.targets.extend(
+                zone.hosts
+                    .iter()
+                    .filter(|name| **name != self.me.name)
+                    .cloned(),
+            );
+            self.rng.shuffle(&mut self.targets);
+        }
+        while let Some(target) = self.targets.pop() {
+            if zone.hosts.binary_search(&target).is_ok() {
+                return Some(target);
+            }
+        }
+        None
+    }
+
+    /// Adds a host that joined to the present round. If it waited for the next
+    /// one, hardly any host of a large zone would probe it in its first minute.
+    pub(crate) fn add_target(&mut self, member: &Member) {
+        let is_peer = member.zone == self.me.zone && member.name != self.me.name;
+        if is_peer && member.state != MemberState::Dead && !self.targets.contains(&member.name) {
+            let at = self.rng.usize(..=self.targets.len());
+            self.targets.insert(at, member.name.clone());
+        }
+    }
+
     pub(crate) fn start_probe(
         &mut self,
         now: Instant,
--- a/crates/cornelwinch_membership/tests/swim_probe.rs
+++ b/crates/cornelwinch_membership/tests/swim_probe.rs
@@ -35,6 +35,23 @@
     }
 }
 
+/// Guards against a host that nobody probes for long after it joined.
+#[test]
+fn new_host_is_probed_soon() {
+    let mut net = Net::settled(1, &["a"; 60]);
+    for i in 1..8 {
+        net.stop(i);
+        net.run(15 * SECOND);
+        net.nodes[i].member.name = format!("new-{i}").into();
+        net.start(i);
+        net.run(2 * SECOND);
+        assert_eq!(net.state(0, i), Some(MemberState::Alive), "i={i}");
+        net.stop(i);
+        net.run(9 * SECOND);
+        assert_eq!(net.state(0, i), Some(MemberState::Dead), "i={i}");
+    }
+}
+
 /// Guards against a live host declared dead because datagrams are lost.
 #[test]
 fn loss_kills_nobody() {
