--- a/crates/cornelwinch_membership/src/exchange.rs
+++ b/crates/cornelwinch_membership/src/exchange.rs
@@ -15,10 +15,7 @@
 const GOSSIP_PER_PERIOD: u32 = 5;
 
 /// Time for which a change of a zone's reachability is sent ahead of probes.
-const ZONE_NEWS: Duration = Duration::from_secs(2);
-
-/// Time for which a zone that is reachable again is named in datagrams.
-const ZONE_REPEAT: Duration = Duration::from_secs(10);
+const ZONE_GOSSIP: Duration = Duration::from_secs(2);
 
 impl Membership {
     /// Takes a datagram from the socket.
@@ -72,7 +69,7 @@
                 self.send(now, from, sender, Body::Gossip, &[], out);
             }
             Body::Gossip => {}
-            Body::Who => {
+            Body::Identify => {
                 let own = self.own_record();
                 self.send(now, from, sender, Body::Gossip, &[own], out);
             }
@@ -101,7 +98,13 @@
                 record.member.name == frame.from && record.member.incarnation == frame.incarnation
             };
             let Some(record) = frame.records.iter().find(is_own) else {
-                self.send(now, from, None, Body::Who, &[], out);
+                // Two hosts that do not know each other would ask in turn
+                // without end, so the question includes the own record and is
+                // never answered with another one.
+                if frame.body != Body::Identify {
+                    let own = self.own_record();
+                    self.send(now, from, None, Body::Identify, &[own], out);
+                }
                 return false;
             };
             self.apply_record(now, record, true, out);
@@ -156,7 +159,7 @@
         if zone.as_ref() == Some(&self.me.zone) {
             self.on_zone_records(now, &frame.zones, out);
         } else if let Some(zone) = zone {
-            self.on_zone_heard(now, &zone, out);
+            self.on_zone_datagram(now, &zone, out);
         }
     }
 
@@ -190,7 +193,7 @@
             _ => Vec::new(),
         };
         let zones = if is_local {
-            self.zone_records(now, ZONE_REPEAT)
+            self.zone_records(now)
         } else {
             Vec::new()
         };
@@ -208,7 +211,7 @@
             records: Vec::new(),
         };
         let mut encoder = Encoder::new(&frame);
-        let accused = known.filter(|record| {
+        let suspected = known.filter(|record| {
             matches!(
                 record.member.state,
                 MemberState::Suspect | MemberState::Dead
@@ -216,7 +219,7 @@
         });
         let mut fits = records
             .iter()
-            .chain(&accused)
+            .chain(&suspected)
             .all(|record| encoder.push(record));
         let remote_receivers = self.table.zones().len() * DELEGATES;
         let receivers = self
@@ -247,8 +250,8 @@
     }
 
     /// Reports whether updates should be sent ahead of the next probe.
-    pub(crate) fn has_news(&self, now: Instant) -> bool {
-        let is_new = |at: Instant| now < at + ZONE_NEWS;
+    pub(crate) fn has_updates(&self, now: Instant) -> bool {
+        let is_new = |at: Instant| now < at + ZONE_GOSSIP;
         !self.local.is_empty()
             || !self.remote.is_empty()
             || self
--- a/crates/cornelwinch_membership/src/membership.rs
+++ b/crates/cornelwinch_membership/src/membership.rs
@@ -56,12 +56,14 @@
     pub(crate) seq: u64,
     /// Number of the next probe.
     pub(crate) number: u64,
+    /// Hosts of the own zone to probe before any is probed again.
+    pub(crate) targets: Vec<Name>,
     pub(crate) probes: Vec<Probe>,
     pub(crate) relays: VecDeque<Relay>,
     /// Suspect hosts of the own zone.
     pub(crate) suspects: Vec<Suspicion>,
     /// Dead hosts and when they are forgotten, the earliest first.
-    pub(crate) graves: VecDeque<(Instant, Name)>,
+    pub(crate) dead: VecDeque<(Instant, Name)>,
     /// Updates for the own zone.
     pub(crate) local: UpdateQueue,
     /// Updates for other zones; filled on delegates only.
@@ -127,10 +129,11 @@
             revision: Revision(0),
             seq: 0,
             number,
+            targets: Vec::new(),
             probes: Vec::new(),
             relays: VecDeque::new(),
             suspects: Vec::new(),
-            graves: VecDeque::new(),
+            dead: VecDeque::new(),
             local: UpdateQueue::default(),
             remote: UpdateQueue::default(),
             pulls: Vec::new(),
@@ -179,6 +182,12 @@
         !self.superseded && (self.confirmed || alone)
     }
 
+    /// Reports whether a newer process has taken this host's name. This one
+    /// neither probes nor spreads updates any more and should exit.
+    pub fn is_superseded(&self) -> bool {
+        self.superseded
+    }
+
     /// Totals since the start.
     pub fn counters(&self) -> Counters {
         self.counters
@@ -202,19 +211,35 @@
                 .filter_map(|zone| zone.deadline)
                 .min(),
         );
-        consider(self.graves.front().map(|(due, _)| *due));
-        consider(self.has_news(self.next_gossip).then_some(self.next_gossip));
+        consider(self.dead.front().map(|(due, _)| *due));
+        consider(
+            self.has_updates(self.next_gossip)
+                .then_some(self.next_gossip),
+        );
         Some(next)
     }
 
     /// Handles everything that is due.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the state breaks an invariant.
     pub fn on_wake(&mut self, now: Instant, out: &mut Vec<MembershipAction>) {
         self.turn(now, out);
+        if self.superseded {
+            // Its datagrams are ignored, so that all others would seem dead.
+            self.next_period = now + self.cfg.period;
+            self.probes.clear();
+            self.suspects.clear();
+            self.local.clear();
+            self.remote.clear();
+            return;
+        }
         self.expire_probes(now, out);
         self.expire_suspicions(now, out);
         self.expire_zones(now, out);
-        while self.graves.front().is_some_and(|(due, _)| *due <= now) {
-            if let Some((_, name)) = self.graves.pop_front() {
+        while self.dead.front().is_some_and(|(due, _)| *due <= now) {
+            if let Some((_, name)) = self.dead.pop_front() {
                 self.table.forget(&name);
                 self.local.remove(&name);
                 self.remote.remove(&name);
@@ -226,9 +251,10 @@
                 self.next_period = now + self.cfg.period;
             }
             self.periods += 1;
+            self.check_state();
             self.probe_period(now, out);
         }
-        if now >= self.next_gossip && self.has_news(now) {
+        if now >= self.next_gossip && self.has_updates(now) {
             self.gossip(now, out);
         }
     }
@@ -252,7 +278,7 @@
                 .filter_map(|zone| zone.deadline.as_mut())
                 .for_each(|due| *due += late);
         }
-        if gap > self.cfg.suspicion {
+        if gap > self.cfg.suspicion && !self.superseded {
             self.confirmed = false;
             self.confirm_from = self.number;
             self.eager_until = now + EAGER_SYNC;
@@ -358,11 +384,11 @@
         let member = &record.member;
         self.suspects
             .retain(|suspicion| suspicion.name != member.name);
-        self.graves.retain(|(_, name)| *name != member.name);
+        self.dead.retain(|(_, name)| *name != member.name);
         match member.state {
             MemberState::Suspect => self.start_suspicion(now, &member.name),
             MemberState::Dead => self
-                .graves
+                .dead
                 .push_back((now + self.cfg.forget, member.name.clone())),
             MemberState::Alive | MemberState::Leaving => {}
         }
@@ -376,6 +402,56 @@
         if change.visible {
             out.push(MembershipAction::Changed(member.clone()));
         }
+        if change.digest {
+            self.add_target(member);
+        }
+        let is_local = member.zone == self.me.zone;
+        assert!(
+            is_local || member.state != MemberState::Suspect,
+            "suspect of another zone: {member:?}"
+        );
         true
     }
+
+    /// Checks what has to hold between two turns. Its cost depends on the
+    /// numbers of suspects and open probes only.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the own record or a suspicion disagrees with the table.
+    pub(crate) fn check_state(&self) {
+        assert_eq!(
+            self.table.record(&self.me.name),
+            Some(self.own_record()),
+            "own record differs from the table"
+        );
+        for suspicion in &self.suspects {
+            let state = self.table.get(&suspicion.name).map(|member| member.state);
+            assert_eq!(state, Some(MemberState::Suspect), "suspicion={suspicion:?}");
+        }
+        let mut suspects: Vec<&Name> = self
+            .suspects
+            .iter()
+            .map(|suspicion| &suspicion.name)
+            .collect();
+        suspects.sort_unstable();
+        suspects.dedup();
+        assert_eq!(
+            suspects.len(),
+            self.suspects.len(),
+            "suspicions={:?}",
+            self.suspects
+        );
+        let ends = (self.dead.front(), self.dead.back());
+        assert!(
+            ends.0.map(|host| host.0) <= ends.1.map(|host| host.0),
+            "dead hosts out of order: {ends:?}"
+        );
+        let open = self.probes.iter().all(|probe| probe.number < self.number);
+        assert!(
+            open,
+            "probe of the future, next={} {:?}",
+            self.number, self.probes
+        );
+    }
 }
--- a/crates/cornelwinch_membership/tests/swim_probe.rs
+++ b/crates/cornelwinch_membership/tests/swim_probe.rs
@@ -35,18 +35,35 @@
     }
 }
 
+/// Guards against a host that nobody probes for long after it joined.
+#[test]
+fn new_host_is_probed_soon() {
+    let mut net = Net::settled(1, &["a"; 60]);
+    for i in 1..8 {
+        net.stop(i);
+        net.run(15 * SECOND);
+        net.nodes[i].member.name = format!("new-{i}").into();
+        net.start(i);
+        net.run(2 * SECOND);
+        assert_eq!(net.state(0, i), Some(MemberState::Alive), "i={i}");
+        net.stop(i);
+        net.run(9 * SECOND);
+        assert_eq!(net.state(0, i), Some(MemberState::Dead), "i={i}");
+    }
+}
+
 /// Guards against a live host declared dead because datagrams are lost.
 #[test]
 fn loss_kills_nobody() {
     for seed in 0..slow_iterations() {
-        let mut net = Net::settled(seed, &["a"; 8]);
-        net.loss = 0.1;
+        let mut net = Net::settled(seed, &["a"; 30]);
+        net.loss = 0.2;
         let since = net.now;
         net.run(60 * SECOND);
-        let deaths: Vec<_> = (0..8)
+        let deaths: Vec<_> = (0..30)
             .flat_map(|i| {
                 let name = net.nodes[i].member.name.clone();
-                net.logged(since, 8, move |action| {
+                net.logged(since, 30, move |action| {
                     is_change(action, &name, MemberState::Dead)
                 })
             })
@@ -95,6 +112,22 @@
     }
 }
 
+/// Guards against a restarted host without seeds that stays unknown, and against
+/// two hosts that ask each other for their records without end.
+#[test]
+fn restart_without_seeds() {
+    for seed in 0..iterations() {
+        let mut net = Net::settled(seed, &["a", "a"]);
+        net.cfg.seeds.clear();
+        net.start(1);
+        let before = net.nodes[0].datagrams + net.nodes[1].datagrams;
+        net.run(3 * SECOND);
+        let sent = net.nodes[0].datagrams + net.nodes[1].datagrams - before;
+        assert!(sent < 100, "seed={seed} sent={sent}");
+        net.check_complete(&format!("seed={seed}"));
+    }
+}
+
 /// Guards against a configuration that spreads unnoticed.
 #[test]
 fn revision_is_reported() {
