Run requests under the caller's own key

Cause: the claims of cornelwinch_tickets were not connected to the host, so POST /v1/run only took tickets. Ruled out: a second run machinery for claims; tickets and claims share runs, waiters and forwarding, which moved from ticketing.rs to running.rs. A text form of the claim as customer/key: names may hold a slash, so the length of the customer stands in front. Change: POST /v1/run takes an Idempotency-Key header instead of a ticket. claiming.rs passes claims to new platform calls, four threads of the daemon read and write the bucket objects, RunClaim forwards to the holder. A refusal that leaves the key unused has a reason that starts with unclaimed_. A shutdown waits for results that are not durable.

--- a/crates/cornelwinch_daemon/src/actor.rs
+++ b/crates/cornelwinch_daemon/src/actor.rs
@@ -243,7 +243,7 @@
                 Outcome::NotRun => Some(RequestEnd::NotRun),
                 Outcome::Unknown => Some(RequestEnd::Unknown),
             },
-            CallerAnswer::Ticket { result, .. } => Some(match result.outcome {
+            CallerAnswer::Run { result, .. } => Some(match result.outcome {
                 Outcome::Done => RequestEnd::Answered { coverage: 1.0 },
                 Outcome::NotRun => RequestEnd::NotRun,
                 Outcome::Unknown => RequestEnd::Unknown,
--- a/crates/cornelwinch_daemon/src/callers.rs
+++ b/crates/cornelwinch_daemon/src/callers.rs
@@ -1,15 +1,20 @@
 use std::time::Duration;
 
 use cornelwinch_gather::{Answer, AnswerReason};
-use cornelwinch_host::{CallerAnswer, CallerRequest, QueryRequest, Rejection, TicketRequest};
+use cornelwinch_host::{
+    CallerAnswer, CallerRequest, ClaimRequest, QueryRequest, Rejection, RunId, TicketRequest,
+};
 use cornelwinch_http::{HttpRequest, Responder};
-use cornelwinch_tickets::{TicketId, TicketResult};
+use cornelwinch_tickets::TicketResult;
 use cornelwinch_types::{Hit, KeyRange, Name, Outcome, QueryId, SnapshotId};
 use serde::{Deserialize, Serialize};
 
 /// Most tickets issued by one request.
 const TICKETS_PER_REQUEST: u32 = 1_000;
 
+/// Longest key of a caller; it is stored with each claim.
+const KEY_BYTES: usize = 255;
+
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct QueryBody {
@@ -28,7 +33,7 @@
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct RunBody {
-    ticket: String,
+    ticket: Option<String>,
     search: Name,
     class: Option<Name>,
     deadline_ms: Option<u64>,
@@ -102,25 +107,48 @@
         }
         _ => {
             let body: RunBody = parse_json(&req.body)?;
-            let ticket: TicketId = body
-                .ticket
-                .parse()
-                .map_err(|_| BadRequest::new(400, "ticket is not one that a host issued"))?;
-            Ok(CallerRequest::RunTicket(TicketRequest {
-                ticket,
-                key: body.key,
-                query: QueryRequest {
-                    token,
-                    search: body.search,
-                    class: body.class,
-                    deadline: body.deadline_ms.map(Duration::from_millis),
-                    body: body.body,
-                },
-            }))
+            let (key, ticket) = (body.key, body.ticket);
+            let query = QueryRequest {
+                token,
+                search: body.search,
+                class: body.class,
+                deadline: body.deadline_ms.map(Duration::from_millis),
+                body: body.body,
+            };
+            match (ticket, req.header("idempotency-key")) {
+                (Some(ticket), None) => {
+                    let ticket = ticket.parse().map_err(|_| {
+                        BadRequest::new(400, "ticket is not one that a host issued")
+                    })?;
+                    Ok(CallerRequest::RunTicket(TicketRequest {
+                        ticket,
+                        key,
+                        query,
+                    }))
+                }
+                (None, Some(text)) => Ok(CallerRequest::RunClaim(ClaimRequest {
+                    idempotency_key: idempotency_key(text)?,
+                    key,
+                    query,
+                })),
+                _ => Err(BadRequest::new(
+                    400,
+                    "either a ticket or an Idempotency-Key header is required",
+                )),
+            }
         }
     }
 }
 
+fn idempotency_key(text: &str) -> Result<Name, BadRequest> {
+    let text = text.trim();
+    if text.is_empty() || text.len() > KEY_BYTES {
+        let error = format!("an Idempotency-Key has 1 to {KEY_BYTES} bytes");
+        return Err(BadRequest::new(400, error));
+    }
+    Ok(text.into())
+}
+
 fn parse_json<'a, T: Deserialize<'a>>(text: &'a str) -> Result<T, BadRequest> {
     serde_json::from_str(text).map_err(|error| BadRequest::new(400, error.to_string()))
 }
@@ -143,8 +171,9 @@
 }
 
 #[derive(Debug, Serialize)]
-struct TicketBody<'a> {
-    ticket: String,
+struct RunAnswer<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    ticket: Option<String>,
     outcome: Outcome,
     #[serde(skip_serializing_if = "Option::is_none")]
     snapshot: Option<SnapshotId>,
@@ -161,7 +190,7 @@
             let tickets: Vec<String> = tickets.iter().map(ToString::to_string).collect();
             responder.json(200, serde_json::json!({ "tickets": tickets }).to_string());
         }
-        CallerAnswer::Ticket { ticket, result } => respond_ticket(responder, ticket, result),
+        CallerAnswer::Run { id, result } => respond_run(responder, id, result),
         CallerAnswer::Rejected(rejection) => respond_rejection(responder, rejection),
         CallerAnswer::Status(status) => responder.json(200, status.to_string()),
     }
@@ -203,10 +232,13 @@
     }
 }
 
-fn respond_ticket(responder: Responder, ticket: &TicketId, result: &TicketResult) {
+fn respond_run(responder: Responder, id: &RunId, result: &TicketResult) {
     let answer = result.answer.as_ref();
-    let body = TicketBody {
-        ticket: ticket.to_string(),
+    let body = RunAnswer {
+        ticket: match id {
+            RunId::Ticket(ticket) => Some(ticket.to_string()),
+            RunId::Claim(_) => None,
+        },
         outcome: result.outcome,
         snapshot: answer.map(|answer| answer.snapshot),
         hits: answer.map_or(&[], |answer| &answer.hits),
--- a/crates/cornelwinch_daemon/src/daemon.rs
+++ b/crates/cornelwinch_daemon/src/daemon.rs
@@ -106,7 +106,7 @@
 /// Fails if the secret cannot be read, a listener cannot be opened or a thread
 /// cannot be started.
 pub fn spawn(settings: &Settings) -> Result<Daemon, DaemonError> {
-    let incarnation = Incarnation(now_micros());
+    let incarnation = Incarnation(u64::try_from(unix_time().as_micros()).unwrap_or(u64::MAX));
     let secret = fs::read(&settings.secret_file).context(FileSnafu {
         step: "read_secret",
         file: &settings.secret_file,
@@ -155,11 +155,10 @@
     operators: HttpServer,
 }
 
-fn now_micros() -> u64 {
-    let since = SystemTime::now()
+fn unix_time() -> Duration {
+    SystemTime::now()
         .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
+        .unwrap_or_default()
 }
 
 fn host_config(settings: &Settings, me: Member, secret: &[u8]) -> HostConfig {
@@ -167,6 +166,7 @@
     let membership = MembershipConfig::new(key, settings.seeds.clone());
     HostConfig {
         me,
+        unix_time: unix_time(),
         routing: match settings.routing {
             RoutingSetting::Owner => Routing::Owner,
             RoutingSetting::Direct => Routing::Direct,
@@ -208,8 +208,9 @@
         let input = Input::Datagram { from, buf };
         gossip_tx.send(ActorInput::Host(input)).is_ok()
     })?;
+    let writer = format!("{}~{incarnation}", settings.host);
     let platform_tx = tx.clone();
-    let platform = PlatformAdapter::spawn(settings.platform, move |event| {
+    let platform = PlatformAdapter::spawn(settings.platform, writer, move |event| {
         let _ = platform_tx.send(ActorInput::Host(Input::Platform(event)));
     })?;
     let peer_addr = peers.local_addr();
--- a/crates/cornelwinch_daemon/src/lib.rs
+++ b/crates/cornelwinch_daemon/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod actor;
 mod callers;
+mod claims;
 mod daemon;
 mod error;
 mod gossip;
--- a/crates/cornelwinch_daemon/src/platform.rs
+++ b/crates/cornelwinch_daemon/src/platform.rs
@@ -1,6 +1,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -14,8 +15,8 @@
 use crossbeam_channel::{Receiver, Sender, unbounded};
 use snafu::ResultExt;
 
-use crate::DaemonError;
 use crate::error::ThreadSnafu;
+use crate::{DaemonError, claims};
 
 /// Time that a watch waits at the platform.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
@@ -28,13 +29,25 @@
     operation: Duration::ZERO,
 };
 
+/// Time limits of a read or write of claims, shorter than the others because a
+/// caller waits.
+const CLAIM_TIMEOUTS: Timeouts = Timeouts {
+    connect: Duration::from_millis(250),
+    call: Duration::from_millis(500),
+    operation: Duration::ZERO,
+};
+
+/// Buckets of claims read or written at once by one host.
+const CLAIM_WORKERS: usize = 4;
+
 type Handler = Arc<dyn Fn(PlatformEvent) + Send + Sync>;
 
 /// Running adapter to the platform: a thread for lists and watches, one for the
-/// host list.
+/// host list, some for claims.
 pub(crate) struct PlatformAdapter {
     changes: Sender<PlatformCall>,
     hosts: Sender<PlatformCall>,
+    claims: Sender<PlatformCall>,
 }
 
 impl fmt::Debug for PlatformAdapter {
@@ -44,14 +57,30 @@
 }
 
 impl PlatformAdapter {
+    /// Starts the threads. `writer` differs from that of every other process.
     pub(crate) fn spawn(
         addr: SocketAddr,
+        writer: String,
         handler: impl Fn(PlatformEvent) + Send + Sync + 'static,
     ) -> Result<Self, DaemonError> {
         let handler: Handler = Arc::new(handler);
+        let (claims, claims_rx) = unbounded();
+        let calls = Arc::new(Calls {
+            writer,
+            writes: AtomicU64::new(0),
+            handler,
+        });
+        let (changes, changes_rx) = unbounded();
+        let (hosts, hosts_rx) = unbounded();
+        calls.spawn_worker("platform-changes", addr, TIMEOUTS, changes_rx)?;
+        calls.spawn_worker("platform-hosts", addr, TIMEOUTS, hosts_rx)?;
+        for _ in 0..CLAIM_WORKERS {
+            calls.spawn_worker("platform-claims", addr, CLAIM_TIMEOUTS, claims_rx.clone())?;
+        }
         Ok(Self {
-            changes: spawn_worker("platform-changes", addr, handler.clone())?,
-            hosts: spawn_worker("platform-hosts", addr, handler)?,
+            changes,
+            hosts,
+            claims,
         })
     }
 
@@ -60,33 +89,65 @@
         let worker = match call {
             PlatformCall::List { .. } | PlatformCall::Watch { .. } => &self.changes,
             PlatformCall::Hosts => &self.hosts,
+            PlatformCall::ReadClaims { .. } | PlatformCall::WriteClaims { .. } => &self.claims,
         };
         let _ = worker.send(call);
     }
 }
 
-fn spawn_worker(
-    name: &'static str,
-    addr: SocketAddr,
+/// What the threads share.
+struct Calls {
+    writer: String,
+    /// Number of writes, which makes the identifier of each one unique.
+    writes: AtomicU64,
     handler: Handler,
-) -> Result<Sender<PlatformCall>, DaemonError> {
-    let (tx, rx) = unbounded();
-    thread::Builder::new()
-        .name(name.into())
-        .spawn(move || run_calls(&PlatformClient::open(addr, TIMEOUTS), &rx, &handler))
-        .context(ThreadSnafu { name })?;
-    Ok(tx)
 }
 
-fn run_calls(client: &PlatformClient, rx: &Receiver<PlatformCall>, handler: &Handler) {
-    let kinds: Vec<&str> = Kind::ALL.iter().map(|kind| kind.as_str()).collect();
-    for call in rx {
-        let event = match call {
+impl Calls {
+    fn spawn_worker(
+        self: &Arc<Self>,
+        name: &'static str,
+        addr: SocketAddr,
+        timeouts: Timeouts,
+        rx: Receiver<PlatformCall>,
+    ) -> Result<(), DaemonError> {
+        let calls = self.clone();
+        thread::Builder::new()
+            .name(name.into())
+            .spawn(move || {
+                let client = PlatformClient::open(addr, timeouts);
+                for call in rx {
+                    let event = calls.run(&client, call);
+                    (calls.handler)(event);
+                }
+            })
+            .context(ThreadSnafu { name })?;
+        Ok(())
+    }
+
+    fn run(&self, client: &PlatformClient, call: PlatformCall) -> PlatformEvent {
+        let kinds = Kind::ALL.map(Kind::as_str);
+        match call {
             PlatformCall::List { after } => changes(client.list(after, &kinds)),
             PlatformCall::Watch { after } => changes(client.watch(after, WATCH_WAIT, &kinds)),
             PlatformCall::Hosts => hosts(client.hosts()),
-        };
-        handler(event);
+            PlatformCall::ReadClaims { bucket } => PlatformEvent::Claims {
+                bucket,
+                reply: claims::read(client, bucket),
+            },
+            PlatformCall::WriteClaims {
+                bucket,
+                version,
+                value,
+            } => {
+                let number = self.writes.fetch_add(1, Ordering::Relaxed);
+                let change = format!("{}~{number}", self.writer);
+                PlatformEvent::Claims {
+                    bucket,
+                    reply: claims::write(client, bucket, version, &change, &value),
+                }
+            }
+        }
     }
 }
 
--- a/crates/cornelwinch_host/src/action.rs
+++ b/crates/cornelwinch_host/src/action.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 
 use cornelwinch_config::UpstreamSpec;
+use cornelwinch_tickets::ClaimBucket;
 use cornelwinch_types::{AttemptId, LegRequest, Name, Revision};
 
 use crate::{CallerAnswer, PeerMessage};
@@ -89,7 +90,8 @@
     }
 }
 
-/// A call to the platform; at most one of each kind is outstanding.
+/// A call to the platform; at most one of each kind, and of each bucket, is
+/// outstanding.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PlatformCall {
     /// List the configuration entries after a revision.
@@ -104,4 +106,18 @@
     },
     /// Read the list of hosts.
     Hosts,
+    /// Read a bucket of claims.
+    ReadClaims {
+        /// Number of the bucket.
+        bucket: u32,
+    },
+    /// Write a bucket of claims if it still has this version.
+    WriteClaims {
+        /// Number of the bucket.
+        bucket: u32,
+        /// Expected version; 0 if the object must not exist.
+        version: u64,
+        /// New value.
+        value: ClaimBucket,
+    },
 }
--- a/crates/cornelwinch_host/src/configuration.rs
+++ b/crates/cornelwinch_host/src/configuration.rs
@@ -104,6 +104,9 @@
                 self.on_upstreams_leaving(now, leaving_upstreams, out);
             }
             PlatformEvent::HostsFailed => self.next_hosts = Some(now + HOSTS_PERIOD),
+            PlatformEvent::Claims { bucket, reply } => {
+                self.on_claim_bucket(now, bucket, reply, out);
+            }
         }
         self.call_platform(now, out);
     }
--- a/crates/cornelwinch_host/src/host.rs
+++ b/crates/cornelwinch_host/src/host.rs
@@ -6,13 +6,15 @@
 use cornelwinch_placement::Placement;
 use cornelwinch_types::{AttemptId, LegRequest, LegResult, Member, MemberState, Name, Refusal};
 
+use crate::claiming::Claiming;
 use crate::owners::{OwnerLimits, OwnerOutput, Owners};
 use crate::queries::Queries;
 use crate::router::{Delivery, LegOrigin, LegRouter, ResultRoute};
+use crate::running::Runs;
 use crate::shutdown::Draining;
 use crate::sync::ConfigSync;
 use crate::ticketing::Ticketing;
-use crate::{Action, Input, LegDone, LegRef, PeerMessage};
+use crate::{Action, Input, LegDone, PeerMessage};
 
 /// Longest time between two turns. A longer gap means that the process or the
 /// machine was paused.
@@ -34,6 +36,8 @@
 pub struct HostConfig {
     /// This host as it announces itself.
     pub me: Member,
+    /// Time since the Unix epoch at the start, for the age of claims.
+    pub unix_time: Duration,
     /// Settings of the membership protocol.
     pub membership: MembershipConfig,
     /// How legs reach an upstream.
@@ -67,6 +71,8 @@
     pub(crate) stats: GatherStats,
     pub(crate) queries: Queries,
     pub(crate) ticketing: Ticketing,
+    pub(crate) claiming: Claiming,
+    pub(crate) runs: Runs,
     pub(crate) owners: Owners,
     pub(crate) router: LegRouter,
     pub(crate) leaving_upstreams: Vec<Name>,
@@ -115,7 +121,9 @@
             ),
             stats: GatherStats::new(GatherConfig::new(me.zone.clone()), rng.fork()),
             queries: Queries::new(cfg.queries),
-            ticketing: Ticketing::open(now, &me, rng.u64(..)),
+            ticketing: Ticketing::open(now, &me),
+            claiming: Claiming::open(now, cfg.unix_time, &me),
+            runs: Runs::open(rng.u64(..)),
             owners: Owners::new(limits),
             router: LegRouter::default(),
             leaving_upstreams: Vec::new(),
@@ -130,6 +138,7 @@
         };
         host.on_membership(now, membership_out, out);
         host.refresh_hosts(now);
+        host.claiming.set_members(host.membership.members());
         host.call_platform(now, out);
         host.finish_turn(now, out);
         host
@@ -193,7 +202,9 @@
         self.owners.on_wake(now, &mut owner_out);
         self.on_owner_output(now, owner_out, out);
         self.wake_queries(now, out);
-        self.wake_ticketing(now, out);
+        self.ticketing.tickets.on_wake(now);
+        self.wake_runs(now, out);
+        self.wake_claiming(now, out);
         let mut actions = Vec::new();
         self.admission.on_wake(now, &mut actions);
         self.on_admission(actions);
@@ -211,7 +222,9 @@
             self.membership.next_wake(),
             self.owners.next_wake(),
             self.queries.next_wake(),
-            self.ticketing.next_wake(),
+            self.ticketing.tickets.next_wake(),
+            self.runs.next_wake(),
+            self.claiming.next_wake(),
             self.admission.next_wake(),
             self.sync.next_wake(),
             self.next_watch.filter(|_| !self.watching),
@@ -247,8 +260,8 @@
                 LegOrigin::Query(query) => {
                     self.deliver_to_query(now, query, delivery.attempt, delivery.result, out);
                 }
-                LegOrigin::Ticket(run) => {
-                    self.deliver_to_ticket(now, run, delivery.attempt, delivery.result, out);
+                LegOrigin::Run(run) => {
+                    self.deliver_to_run(now, run, delivery.attempt, delivery.result, out);
                 }
             }
         }
@@ -368,7 +381,7 @@
         self.router.push(to, PeerMessage::LegsDone(vec![done]));
     }
 
-    fn on_leg_result(
+    pub(crate) fn on_leg_result(
         &mut self,
         now: Instant,
         from: &Name,
@@ -385,94 +398,6 @@
         }
     }
 
-    fn on_peer(&mut self, now: Instant, from: &Name, msg: PeerMessage, out: &mut Vec<Action>) {
-        match msg {
-            PeerMessage::Legs(batch) => {
-                let mut owner_out = OwnerOutput::default();
-                for leg in batch.into_legs() {
-                    if self.owners.owns(&leg.upstream) {
-                        self.owners.submit(now, leg, from.clone(), &mut owner_out);
-                    } else {
-                        self.refuse_not_owner(from, &leg);
-                    }
-                }
-                self.on_owner_output(now, owner_out, out);
-            }
-            PeerMessage::LegsDone(done) => {
-                for done in done {
-                    self.on_leg_result(now, from, done.attempt, done.result, out);
-                }
-            }
-            PeerMessage::CancelLegs(legs) => {
-                let mut owner_out = OwnerOutput::default();
-                for LegRef { attempt, upstream } in legs {
-                    self.owners.cancel(now, &upstream, attempt, &mut owner_out);
-                }
-                self.on_owner_output(now, owner_out, out);
-            }
-            PeerMessage::Handover { upstream, state } => {
-                let mut owner_out = OwnerOutput::default();
-                self.owners
-                    .on_handover(now, &upstream, state, &mut owner_out);
-                self.on_owner_output(now, owner_out, out);
-            }
-            PeerMessage::HandoverReleased { upstream, finished } => {
-                let mut owner_out = OwnerOutput::default();
-                self.owners
-                    .on_released(now, &upstream, finished, &mut owner_out);
-                self.on_owner_output(now, owner_out, out);
-            }
-            PeerMessage::UpstreamsLeaving(names) => self.on_upstreams_leaving(now, names, out),
-            PeerMessage::PullConfig { after } => {
-                let msg = self.sync.on_pull(after);
-                self.router.push(from, msg);
-            }
-            PeerMessage::Config(update) => self.on_config_update(now, from, update, out),
-            PeerMessage::RunTicket(run) => self.on_run_ticket(now, from, run, out),
-            PeerMessage::TicketDone { request, result } => {
-                self.on_ticket_done(now, from, request, result, out);
-            }
-            PeerMessage::Admission(msg) => {
-                let mut actions = Vec::new();
-                self.admission.on_message(now, from, &msg, &mut actions);
-                self.on_admission(actions);
-            }
-            PeerMessage::Quarantine(marks) => {
-                for mark in marks {
-                    self.stats
-                        .quarantine_mut()
-                        .add(now, mark.fingerprint, mark.ttl);
-                }
-            }
-        }
-    }
-
-    fn refuse_not_owner(&mut self, from: &Name, leg: &LegRequest) {
-        let owner = self
-            .placement
-            .owner(&leg.upstream)
-            .filter(|owner| **owner != self.cfg.me.name)
-            .cloned();
-        let done = LegDone {
-            attempt: leg.attempt,
-            result: LegResult::Refused(Refusal::NotOwner { owner }),
-        };
-        self.router.push(from, PeerMessage::LegsDone(vec![done]));
-    }
-
-    fn on_peer_down(
-        &mut self,
-        now: Instant,
-        peer: &Name,
-        unsent: &[PeerMessage],
-        out: &mut Vec<Action>,
-    ) {
-        let lost = self.router.on_owner_down(peer, unsent);
-        self.deliveries.extend(lost);
-        self.sync.on_peer_down(peer);
-        self.on_ticket_host_down(now, peer, out);
-    }
-
     pub(crate) fn on_membership(
         &mut self,
         now: Instant,
@@ -507,6 +432,7 @@
             self.placement.set_members(&self.eligible_members());
             self.refresh_owners(now, out);
             self.refresh_hosts(now);
+            self.claiming.set_members(self.membership.members());
         }
     }
 
@@ -539,7 +465,7 @@
         }
     }
 
-    fn on_admission(&mut self, actions: Vec<AdmissionAction>) {
+    pub(crate) fn on_admission(&mut self, actions: Vec<AdmissionAction>) {
         for AdmissionAction::Send { to, msg } in actions {
             self.router.push(&to, PeerMessage::Admission(msg));
         }
--- a/crates/cornelwinch_host/src/input.rs
+++ b/crates/cornelwinch_host/src/input.rs
@@ -2,6 +2,7 @@
 
 use cornelwinch_config::Entry;
 use cornelwinch_membership::ListedHost;
+use cornelwinch_tickets::BucketReply;
 use cornelwinch_types::{AttemptId, LegResult, Name, Revision, UpstreamSigns};
 
 use crate::{CallerRequest, PeerMessage};
@@ -87,4 +88,11 @@
     },
     /// The host list could not be read.
     HostsFailed,
+    /// Outcome of a read or write of a bucket of claims.
+    Claims {
+        /// Number of the bucket.
+        bucket: u32,
+        /// The outcome.
+        reply: BucketReply,
+    },
 }
--- a/crates/cornelwinch_host/src/lib.rs
+++ b/crates/cornelwinch_host/src/lib.rs
@@ -5,14 +5,17 @@
 //! drive it on virtual time.
 
 mod action;
+mod claiming;
 mod configuration;
 mod host;
 mod input;
 mod message;
 mod owners;
+mod peers;
 mod queries;
 mod request;
 mod router;
+mod running;
 mod shutdown;
 mod status;
 mod sync;
@@ -23,8 +26,11 @@
 pub use input::{Input, PlatformEvent};
 pub use message::{
     ConfigUpdate, LegBatch, LegDone, LegItem, LegRef, PeerMessage, QuarantineMark, RelaySpan,
-    RunTicket,
+    RunClaim, RunTicket,
 };
 pub use owners::OwnedStatus;
-pub use request::{CallerAnswer, CallerRequest, QueryRequest, Rejection, TicketRequest};
+pub use request::{
+    CallerAnswer, CallerRequest, ClaimRequest, QueryRequest, Rejection, TicketRequest,
+};
+pub use running::RunId;
 pub use status::HostStatus;
--- a/crates/cornelwinch_host/src/message.rs
+++ b/crates/cornelwinch_host/src/message.rs
@@ -43,7 +43,9 @@
     Config(ConfigUpdate),
     /// Runs a ticket on the host that issued it.
     RunTicket(RunTicket),
-    /// Result of a forwarded ticket.
+    /// Runs a caller's key on the host that holds its claim.
+    RunClaim(RunClaim),
+    /// Result of a forwarded ticket or key.
     TicketDone {
         /// Number of the request at the forwarding host.
         request: u64,
@@ -222,6 +224,29 @@
     pub budget: Duration,
 }
 
+/// A request with a caller's key, sent to the host that holds its claim.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunClaim {
+    /// Number of the request at the forwarding host.
+    pub request: u64,
+    /// Key of the caller with its customer.
+    pub claim: Name,
+    /// Customer on whose behalf the request runs.
+    pub customer: Name,
+    /// Search to run it on.
+    pub search: Name,
+    /// Traffic class.
+    pub class: Name,
+    /// Key that selects the shard.
+    pub key: u64,
+    /// Request body.
+    pub body: Name,
+    /// Priority, 0 is served first.
+    pub priority: u8,
+    /// Time left until the deadline.
+    pub budget: Duration,
+}
+
 /// A request that crashes upstreams.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuarantineMark {
--- a/crates/cornelwinch_host/src/queries.rs
+++ b/crates/cornelwinch_host/src/queries.rs
@@ -67,6 +67,7 @@
                 self.issue_tickets(now, caller, &token, count, out).err()
             }
             CallerRequest::RunTicket(run) => self.accept_ticket(now, caller, run, out).err(),
+            CallerRequest::RunClaim(run) => self.accept_claim(now, caller, run, out).err(),
             CallerRequest::Status => {
                 let label = RequestLabel::none();
                 let answer = CallerAnswer::Status(self.status().to_json());
@@ -208,8 +209,8 @@
         }
     }
 
-    /// Stops the work of a caller that has disconnected. A ticket's request
-    /// goes on, because its caller may ask for the result again.
+    /// Stops the work of a caller that has disconnected. A non-idempotent
+    /// request goes on, because its caller may ask for the result again.
     pub(crate) fn on_caller_gone(&mut self, now: Instant, caller: u64, out: &mut Vec<Action>) {
         let found = self
             .queries
--- a/crates/cornelwinch_host/src/request.rs
+++ b/crates/cornelwinch_host/src/request.rs
@@ -6,6 +6,8 @@
 use cornelwinch_types::Name;
 use serde_json::Value;
 
+use crate::RunId;
+
 /// What a caller or an operator asks for.
 #[derive(Debug, Clone)]
 pub enum CallerRequest {
@@ -20,6 +22,8 @@
     },
     /// Run the request of a ticket.
     RunTicket(TicketRequest),
+    /// Run the request of a caller's own key.
+    RunClaim(ClaimRequest),
     /// Report the state of this host.
     Status,
 }
@@ -50,6 +54,17 @@
     pub query: QueryRequest,
 }
 
+/// A non-idempotent request with a key of the caller's choice.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClaimRequest {
+    /// Key that the caller repeats with each copy of the request.
+    pub idempotency_key: Name,
+    /// Key that selects the shard.
+    pub key: u64,
+    /// The rest of the request.
+    pub query: QueryRequest,
+}
+
 /// Answer to a caller.
 #[derive(Debug, Clone)]
 pub enum CallerAnswer {
@@ -57,10 +72,10 @@
     Query(Answer),
     /// Tickets issued.
     Tickets(Vec<TicketId>),
-    /// Result of a ticket's request.
-    Ticket {
-        /// The ticket.
-        ticket: TicketId,
+    /// Result of a non-idempotent request.
+    Run {
+        /// Its ticket or key.
+        id: RunId,
         /// Result.
         result: TicketResult,
     },
--- a/crates/cornelwinch_host/src/router.rs
+++ b/crates/cornelwinch_host/src/router.rs
@@ -15,8 +15,8 @@
 pub(crate) enum LegOrigin {
     /// A query of this host.
     Query(QueryId),
-    /// The run of a ticket of this host.
-    Ticket(u64),
+    /// The run of a non-idempotent request of this host.
+    Run(u64),
 }
 
 #[derive(Debug)]
--- a/crates/cornelwinch_host/src/shutdown.rs
+++ b/crates/cornelwinch_host/src/shutdown.rs
@@ -32,7 +32,7 @@
     }
 
     fn work_left(&self) -> usize {
-        self.queries.len() + self.ticketing.running() + self.owners.pending()
+        self.queries.len() + self.runs.len() + self.claiming.pending() + self.owners.pending()
     }
 
     pub(crate) fn advance_shutdown(&mut self, now: Instant, out: &mut Vec<Action>) {
--- a/crates/cornelwinch_host/src/status.rs
+++ b/crates/cornelwinch_host/src/status.rs
@@ -27,6 +27,10 @@
     pub confirmed: bool,
     /// Queries in progress.
     pub queries: usize,
+    /// Non-idempotent requests that run here or are awaited from another host.
+    pub runs: usize,
+    /// Requests that wait for their claim, and results that are not durable yet.
+    pub claims: usize,
     /// Legs sent without a result.
     pub legs: usize,
     /// Legs sent since the start.
@@ -58,10 +62,15 @@
             ready: self.is_ready(),
             confirmed: self.membership.is_confirmed(),
             queries: self.queries.len(),
+            runs: self.runs.len(),
+            claims: self.claiming.pending(),
             legs: self.router.outstanding(),
             legs_total: counters.legs,
             hedges_total: counters.hedges,
-            violations: self.owners.violations() + self.sync.state.violations(),
+            violations: self.owners.violations()
+                + self.sync.state.violations()
+                + self.ticketing.tickets.violations()
+                + self.claiming.violations(),
             members: self
                 .membership
                 .members()
--- a/crates/cornelwinch_tickets/src/claims.rs
+++ b/crates/cornelwinch_tickets/src/claims.rs
@@ -223,6 +223,11 @@
         }
     }
 
+    /// Number of claims started here whose results are not known to be durable.
+    pub fn unsaved(&self) -> usize {
+        self.held.len()
+    }
+
     /// Number of failed invariant checks, for a metric.
     pub fn violations(&self) -> u64 {
         self.violations
