Add fault cases of non-idempotent requests to the lab

Cause: the lab had no means to cut a caller, to hold a request while it runs or to compare the answers of copies. Ruled out: a slow service time to keep requests running; the verdict would depend on timing. Change: Caller sends whole, cut and concurrent requests; FaultLab starts a small deployment and describes answers and runs; upstream stand-ins hold the end of legs until a release. Conclusion: faults can be provoked by events alone.

--- a/crates/cornelwinch_lab/src/lib.rs
+++ b/crates/cornelwinch_lab/src/lib.rs
@@ -1,13 +1,17 @@
 //! Starts a whole deployment on loopback: stand-ins for the platform and the
 //! upstreams in this process, and each host as a process of its own.
 
+mod caller;
 mod deployment;
 mod error;
+mod faults;
 mod host;
 mod ports;
 mod shape;
 
+pub use caller::{Caller, Reply, RunKey, RunRequest};
 pub use deployment::Deployment;
 pub use error::LabError;
+pub use faults::{FaultLab, IdKind, wait_until};
 pub use host::{HostProcess, HostProgram};
 pub use shape::{DeploymentShape, SearchShape, amman, tunis};
--- a/crates/cornelwinch_standins/src/upstream/fault.rs
+++ b/crates/cornelwinch_standins/src/upstream/fault.rs
@@ -21,6 +21,11 @@
     Freeze,
     /// Ends a freeze; held requests and answers proceed.
     Resume,
+    /// Legs start and are counted, but none ends before a release, whatever its
+    /// deadline.
+    Hold,
+    /// Ends a hold; the legs held end now.
+    Release,
     /// Restarts when a leg whose body contains the marker starts; `None` turns
     /// it off.
     CrashOn {
--- a/crates/cornelwinch_standins/src/upstream/mod.rs
+++ b/crates/cornelwinch_standins/src/upstream/mod.rs
@@ -42,6 +42,8 @@
     state: Mutex<UpstreamState>,
     /// Events held while frozen; `None` while running.
     held: Mutex<Option<Vec<Event>>>,
+    /// Serial numbers of legs that wait for a release; `None` without a hold.
+    unfinished: Mutex<Option<Vec<u64>>>,
 }
 
 /// Something that an upstream works on.
@@ -69,6 +71,7 @@
         state: Mutex::new(UpstreamState::new(cfg)),
         server: Mutex::new(None),
         held: Mutex::new(None),
+        unfinished: Mutex::new(None),
     };
     // The handler needs the finished handle, and the handle needs the port.
     let link = Arc::new(Mutex::new(Weak::new()));
@@ -125,6 +128,15 @@
                     self.inner.handle(event);
                 }
             }
+            UpstreamFault::Hold => {
+                lock(&self.inner.unfinished).get_or_insert_default();
+            }
+            UpstreamFault::Release => {
+                let legs = lock(&self.inner.unfinished).take().unwrap_or_default();
+                for serial in legs {
+                    self.inner.handle(Event::Finish(serial));
+                }
+            }
             fault => lock(&self.inner.state).apply(fault),
         }
     }
@@ -224,6 +236,7 @@
             // The caller gave up while it was connecting.
             Event::Connected(req) if req.responder.is_caller_gone() => {}
             Event::Connected(req) | Event::Request(req) => self.serve(req, &mut out),
+            Event::Finish(serial) if self.holds(serial) => {}
             Event::Finish(serial) => lock(&self.state).finish(serial, &mut out),
             Event::Release(serial) => lock(&self.state).release_crossed(serial, &mut out),
             Event::Send(reply) => reply.send(),
@@ -239,6 +252,12 @@
         }
     }
 
+    /// Keeps the end of a leg for a release; false without a hold.
+    fn holds(&self, serial: u64) -> bool {
+        let mut unfinished = lock(&self.unfinished);
+        unfinished.as_mut().map(|legs| legs.push(serial)).is_some()
+    }
+
     fn serve(&self, req: HttpRequest, out: &mut Vec<Effect>) {
         let mut state = lock(&self.state);
         let cancelled = req.path().strip_prefix("/v1/leg/").map(str::parse);
--- a/crates/cornelwinch_standins/src/upstream/state.rs
+++ b/crates/cornelwinch_standins/src/upstream/state.rs
@@ -401,7 +401,9 @@
             | UpstreamFault::Stop
             | UpstreamFault::Start
             | UpstreamFault::Freeze
-            | UpstreamFault::Resume => {}
+            | UpstreamFault::Resume
+            | UpstreamFault::Hold
+            | UpstreamFault::Release => {}
             UpstreamFault::Drain => self.draining = true,
             UpstreamFault::Undrain => self.draining = false,
             UpstreamFault::CrashOn { marker } => self.crash_marker = marker,
