Answer from known claims while the platform is away

Cause: for 250 ms after a failed exchange a bucket refused every claim as not run, also a resend of a key whose result its host knew. Ruled out: a shorter pause, which only makes the wrong refusal rarer. Change: a claim is compared with the known content of its bucket first; only what that does not decide is refused. Figures: known_results.rs, seen failing before (NotRun("platform_away") for a finished key), passes after. Conclusion: a resend to a host that knows the result gets it in an outage.

--- a/crates/cornelwinch_tickets/src/claims.rs
+++ b/crates/cornelwinch_tickets/src/claims.rs
@@ -115,19 +115,11 @@
             return out.push(ClaimAction::Begin { waiter, key, begin });
         }
         let i = (xxh3_64(key.as_bytes()) % self.buckets.len() as u64) as usize;
-        let bucket = &mut self.buckets[i];
-        let away = bucket.away_until.is_some_and(|t| now < t);
-        let refusal = if deadline <= now {
-            Some("deadline_passed")
-        } else if away {
-            Some("platform_away")
-        } else {
-            None
-        };
-        if let Some(code) = refusal {
-            let begin = ClaimBegin::NotRun(code);
+        if deadline <= now {
+            let begin = ClaimBegin::NotRun("deadline_passed");
             return out.push(ClaimAction::Begin { waiter, key, begin });
         }
+        let bucket = &mut self.buckets[i];
         let claim_waiter = ClaimWaiter { waiter, deadline };
         match bucket.pending.iter_mut().find(|p| p.key == key) {
             Some(pending) if pending.fingerprint != fingerprint => {
@@ -143,6 +135,13 @@
             }),
         }
         self.drive(now, i, out);
+        // What is known of the bucket has decided what it can.
+        let bucket = &mut self.buckets[i];
+        if bucket.away_until.is_some_and(|t| now < t) {
+            for pending in mem::take(&mut bucket.pending) {
+                refuse(pending, "platform_away", out);
+            }
+        }
     }
 
     /// Records the result of a started request; returns the waiters that get
--- /dev/null
+++ b/crates/cornelwinch_tickets/tests/known_results.rs
@@ -0,0 +1,47 @@
+//! Guards against a resend that is refused as not run, because the platform is
+//! away, although its host knows that the key has run.
+
+use std::time::{Duration, Instant};
+
+use cornelwinch_tickets::{
+    BucketReply, ClaimAction, ClaimBegin, ClaimBucket, ClaimConfig, Claims, TicketResult,
+};
+use cornelwinch_types::{Fingerprint, Incarnation};
+
+#[test]
+fn result_is_known_while_away() {
+    let now = Instant::now();
+    let deadline = now + Duration::from_secs(5);
+    let cfg = ClaimConfig {
+        buckets: 1,
+        retention: Duration::from_secs(3600),
+    };
+    let mut claims = Claims::open(now, cfg.retention, "host-1".into(), Incarnation(1), cfg);
+    let body = Fingerprint::of("stock", "two pallets");
+    let mut out = Vec::new();
+    claims.claim(now, "key", body, 1, deadline, &mut out);
+    let empty = BucketReply::Present {
+        version: 0,
+        value: ClaimBucket::default(),
+    };
+    claims.on_reply(now, 0, empty, &mut out);
+    claims.on_reply(now, 0, BucketReply::Written { version: 1 }, &mut out);
+    let result = TicketResult::unknown("disconnected");
+    assert_eq!(claims.finish(now, "key", result.clone(), &mut out), [1]);
+    claims.on_reply(now, 0, BucketReply::Written { version: 2 }, &mut out);
+    assert_eq!(claims.unsaved(), 0);
+
+    claims.claim(now, "other", body, 2, deadline, &mut out);
+    claims.on_reply(now, 0, BucketReply::Unavailable, &mut out);
+    out.clear();
+    claims.claim(now, "key", body, 3, deadline, &mut out);
+    claims.claim(now, "third", body, 4, deadline, &mut out);
+    let begin = |waiter, key: &str, begin| ClaimAction::Begin {
+        waiter,
+        key: key.into(),
+        begin,
+    };
+    let known = begin(3, "key", ClaimBegin::Finished(result));
+    let refused = begin(4, "third", ClaimBegin::NotRun("platform_away"));
+    assert_eq!(out, [known, refused]);
+}
