Start no expired request after a pause of the process

Cause: requests carry the time left when they were sent. One that waited in a socket buffer of a frozen host got a new deadline when the host resumed, so a ticket and a leg started after their callers had been told unknown. Ruled out: wall-clock deadlines, which need synchronised clocks; dropping all input after a pause, which loses requests that are in time. Change: for 1 s after a gap between turns of more than 300 ms, non-idempotent requests from callers and hosts, and such legs, count as old as the gap. The status shows it as backlog_ms.

--- a/crates/cornelwinch_host/src/claiming.rs
+++ b/crates/cornelwinch_host/src/claiming.rs
@@ -84,7 +84,7 @@
             key: req.key,
             body: req.query.body,
             priority,
-            deadline,
+            deadline: now + self.backlog.left(now, deadline - now),
         };
         self.claim(now, work, Waiter::Caller { caller, label }, out);
         Ok(())
@@ -111,7 +111,7 @@
             key: req.key,
             body: req.body,
             priority: req.priority,
-            deadline: now + req.budget,
+            deadline: now + self.backlog.left(now, req.budget),
         };
         self.claim(now, work, waiter, out);
     }
--- a/crates/cornelwinch_host/src/host.rs
+++ b/crates/cornelwinch_host/src/host.rs
@@ -8,17 +8,18 @@
 
 use crate::claiming::Claiming;
 use crate::owners::{OwnerLimits, OwnerOutput, Owners};
+use crate::pause::Backlog;
 use crate::queries::Queries;
 use crate::router::{Delivery, LegOrigin, LegRouter, ResultRoute};
 use crate::running::Runs;
 use crate::shutdown::Draining;
 use crate::sync::ConfigSync;
 use crate::ticketing::Ticketing;
-use crate::{Action, Input, LegDone, PeerMessage};
+use crate::{Action, Input, PeerMessage};
 
 /// Longest time between two turns. A longer gap means that the process or the
 /// machine was paused.
-const TURN_PERIOD: Duration = Duration::from_millis(250);
+pub(crate) const TURN_PERIOD: Duration = Duration::from_millis(250);
 
 /// How legs reach an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -80,7 +81,8 @@
     pub(crate) next_watch: Option<Instant>,
     pub(crate) next_hosts: Option<Instant>,
     pub(crate) draining: Option<Draining>,
-    last_turn: Instant,
+    pub(crate) last_turn: Instant,
+    pub(crate) backlog: Backlog,
     /// The other hosts know this one, so that it has a share of each rate.
     has_shares: bool,
     /// Results of legs that are to be delivered in this turn.
@@ -132,6 +134,7 @@
             next_hosts: Some(now),
             draining: None,
             last_turn: now,
+            backlog: Backlog::default(),
             has_shares: false,
             deliveries: Vec::new(),
             cfg,
@@ -239,6 +242,7 @@
     fn start_turn(&mut self, now: Instant, out: &mut Vec<Action>) {
         let gap = now.saturating_duration_since(self.last_turn);
         self.last_turn = now;
+        self.backlog.on_turn(now, gap);
         self.has_shares = self.has_shares || self.admission.is_settled(now);
         if gap > self.cfg.suspicion {
             log::warn!("event=process_paused gap_ms={}", gap.as_millis());
@@ -376,11 +380,6 @@
         }
     }
 
-    fn reply_leg(&mut self, to: &Name, attempt: AttemptId, result: LegResult) {
-        let done = LegDone { attempt, result };
-        self.router.push(to, PeerMessage::LegsDone(vec![done]));
-    }
-
     pub(crate) fn on_leg_result(
         &mut self,
         now: Instant,
--- a/crates/cornelwinch_host/src/lib.rs
+++ b/crates/cornelwinch_host/src/lib.rs
@@ -11,6 +11,7 @@
 mod input;
 mod message;
 mod owners;
+mod pause;
 mod peers;
 mod queries;
 mod request;
--- a/crates/cornelwinch_host/src/peers.rs
+++ b/crates/cornelwinch_host/src/peers.rs
@@ -1,6 +1,6 @@
 use std::time::Instant;
 
-use cornelwinch_types::{LegRequest, LegResult, Name, Refusal};
+use cornelwinch_types::{AttemptId, LegRequest, LegResult, Name, Refusal};
 
 use crate::owners::OwnerOutput;
 use crate::{Action, Host, LegDone, LegRef, PeerMessage};
@@ -16,7 +16,10 @@
         match msg {
             PeerMessage::Legs(batch) => {
                 let mut owner_out = OwnerOutput::default();
-                for leg in batch.into_legs() {
+                for mut leg in batch.into_legs() {
+                    if !leg.idempotent {
+                        leg.budget = self.backlog.left(now, leg.budget);
+                    }
                     if self.owners.owns(&leg.upstream) {
                         self.owners.submit(now, leg, from.clone(), &mut owner_out);
                     } else {
@@ -75,6 +78,11 @@
         }
     }
 
+    pub(crate) fn reply_leg(&mut self, to: &Name, attempt: AttemptId, result: LegResult) {
+        let done = LegDone { attempt, result };
+        self.router.push(to, PeerMessage::LegsDone(vec![done]));
+    }
+
     fn refuse_not_owner(&mut self, from: &Name, leg: &LegRequest) {
         let owner = self
             .placement
--- a/crates/cornelwinch_host/src/status.rs
+++ b/crates/cornelwinch_host/src/status.rs
@@ -37,6 +37,9 @@
     pub legs_total: u64,
     /// Hedges sent since the start.
     pub hedges_total: u64,
+    /// Age in milliseconds that requests may have because of a pause; those
+    /// that must not run late are refused if they have less time left.
+    pub backlog_ms: u64,
     /// Invariant violations since the start.
     pub violations: u64,
     pub(crate) members: Vec<MemberStatus>,
@@ -52,6 +55,12 @@
 }
 
 impl Host {
+    /// The age at the last turn; requests and timers come at most a turn apart.
+    fn backlog_ms(&self) -> u64 {
+        let age = self.backlog.age(self.last_turn);
+        u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Reports the state of this host.
     pub fn status(&self) -> HostStatus {
         let counters = self.stats.counters();
@@ -67,6 +76,7 @@
             legs: self.router.outstanding(),
             legs_total: counters.legs,
             hedges_total: counters.hedges,
+            backlog_ms: self.backlog_ms(),
             violations: self.owners.violations()
                 + self.sync.state.violations()
                 + self.ticketing.tickets.violations()
--- a/crates/cornelwinch_host/src/ticketing.rs
+++ b/crates/cornelwinch_host/src/ticketing.rs
@@ -86,7 +86,7 @@
             key: req.key,
             body: req.query.body,
             priority,
-            deadline,
+            deadline: now + self.backlog.left(now, deadline - now),
         };
         let waiter = Waiter::Caller { caller, label };
         if local {
@@ -150,7 +150,7 @@
             key: req.key,
             body: req.body,
             priority: req.priority,
-            deadline: now + req.budget,
+            deadline: now + self.backlog.left(now, req.budget),
         };
         self.begin_ticket(now, work, waiter, out);
     }
--- a/crates/cornelwinch_lab/src/faults.rs
+++ b/crates/cornelwinch_lab/src/faults.rs
@@ -146,8 +146,8 @@
         }
     }
 
-    /// Waits until every host is ready, has no request in progress, and the
-    /// hosts agree on the owners.
+    /// Waits until every host is ready, has no request in progress nor a
+    /// backlog, and the hosts agree on the owners.
     pub fn settle(&self) {
         wait_until("all hosts are ready and idle", || {
             let hosts = &self.deployment.hosts;
@@ -159,6 +159,7 @@
                     && s["confirmed"] == json!(true)
                     && s["runs"] == json!(0)
                     && s["legs"] == json!(0)
+                    && s["backlog_ms"] == json!(0)
                     && alive == hosts.len()
             });
             let owned = |s: &serde_json::Value| s["owned"].as_array().map_or(0, Vec::len);
