Wait for legs at a frozen upstream in fault cases

Cause: claim_faults.rs failed once in 4 repetitions ("no event: the held request runs"). The case of the killed owner took a leg for arrived as soon as the owner counted it, and could kill the owner before its worker had sent it. Ruled out: a fault of the host; the leg never left. Change: the upstream stand-in counts the legs that a freeze holds, and the cases wait for that count. Conclusion: the event is the arrival at the upstream itself.

--- a/crates/cornelwinch_lab/src/scenarios.rs
+++ b/crates/cornelwinch_lab/src/scenarios.rs
@@ -49,15 +49,10 @@
 
     /// Sends a request to an upstream that is frozen, so that it waits there.
     fn start_waiting(&self, req: &RunRequest) -> Sent {
-        let legs = |lab: &Self| {
-            let status = lab.deployment.hosts[OWNER].status().unwrap_or_default();
-            let owned = status["owned"].as_array().cloned().unwrap_or_default();
-            let found = owned.iter().find(|owned| owned["upstream"] == UPSTREAM);
-            found.and_then(|owned| owned["in_flight"].as_u64())
-        };
-        let before = legs(self).unwrap_or_default();
+        let upstream = self.deployment.upstream(UPSTREAM);
+        let before = upstream.held_legs();
         let sent = self.caller(HOME).start(req);
-        wait_until("the leg has left", || legs(self) == Some(before + 1));
+        wait_until("the leg has arrived", || upstream.held_legs() == before + 1);
         sent
     }
 
--- a/crates/cornelwinch_standins/src/upstream/mod.rs
+++ b/crates/cornelwinch_standins/src/upstream/mod.rs
@@ -108,6 +108,18 @@
         found.map_or(0, |i| counters.runs[i].1)
     }
 
+    /// Number of legs that arrived during a freeze and wait for its end.
+    pub fn held_legs(&self) -> usize {
+        let held = lock(&self.inner.held);
+        let requests = held.iter().flatten();
+        requests
+            .filter(|event| match event {
+                Event::Connected(req) | Event::Request(req) => req.method == "POST",
+                _ => false,
+            })
+            .count()
+    }
+
     /// Changes the upstream's behaviour. Restarts return when the port is
     /// bound again.
     ///
