--- a/crates/cornelwinch_host/src/host.rs
+++ b/crates/cornelwinch_host/src/host.rs
@@ -6,22 +6,21 @@
 use cornelwinch_placement::Placement;
 use cornelwinch_types::{AttemptId, LegRequest, LegResult, Member, MemberState, Name, Refusal};
 
+use crate::claiming::Claiming;
 use crate::fence::Fence;
 use crate::owners::{OwnerLimits, OwnerOutput, Owners};
+use crate::pause::{Backlog, PAUSE_GAP};
 use crate::queries::Queries;
 use crate::router::{Delivery, LegOrigin, LegRouter, ResultRoute};
+use crate::running::Runs;
 use crate::shutdown::Draining;
 use crate::sync::ConfigSync;
 use crate::ticketing::Ticketing;
-use crate::{Action, Input, LegDone, LegRef, PeerMessage};
+use crate::{Action, Input, PeerMessage};
 
 /// Longest time between two turns.
 const TURN_PERIOD: Duration = Duration::from_millis(100);
 
-/// Gap between two turns from which messages of peers may have waited longer
-/// than their deadlines allow. It is shorter than the deadline of a query.
-const PAUSE_GAP: Duration = Duration::from_millis(250);
-
 /// How legs reach an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Routing {
@@ -38,6 +37,8 @@
 pub struct HostConfig {
     /// This host as it announces itself.
     pub me: Member,
+    /// Time since the Unix epoch at the start, for the age of claims.
+    pub unix_time: Duration,
     /// Settings of the membership protocol.
     pub membership: MembershipConfig,
     /// How legs reach an upstream.
@@ -72,6 +73,8 @@
     pub(crate) stats: GatherStats,
     pub(crate) queries: Queries,
     pub(crate) ticketing: Ticketing,
+    pub(crate) claiming: Claiming,
+    pub(crate) runs: Runs,
     pub(crate) owners: Owners,
     pub(crate) router: LegRouter,
     pub(crate) leaving_upstreams: Vec<Name>,
@@ -79,8 +82,9 @@
     pub(crate) next_watch: Option<Instant>,
     pub(crate) next_hosts: Option<Instant>,
     pub(crate) draining: Option<Draining>,
-    fence: Fence,
-    last_turn: Instant,
+    pub(crate) fence: Fence,
+    pub(crate) last_turn: Instant,
+    pub(crate) backlog: Backlog,
     /// The other hosts know this one, so that it has a share of each rate.
     has_shares: bool,
     /// Results of legs that are to be delivered in this turn.
@@ -122,7 +126,9 @@
             overload: Overload::default(),
             stats: GatherStats::new(GatherConfig::new(me.zone.clone()), rng.fork()),
             queries: Queries::new(cfg.queries),
-            ticketing: Ticketing::open(now, &me, rng.u64(..)),
+            ticketing: Ticketing::open(now, &me),
+            claiming: Claiming::open(now, cfg.unix_time, &me),
+            runs: Runs::open(rng.u64(..)),
             owners: Owners::new(limits),
             router: LegRouter::default(),
             leaving_upstreams: Vec::new(),
@@ -132,12 +138,14 @@
             draining: None,
             fence: Fence::default(),
             last_turn: now,
+            backlog: Backlog::default(),
             has_shares: false,
             deliveries: Vec::new(),
             cfg,
         };
         host.on_membership(now, membership_out, out);
         host.refresh_hosts(now);
+        host.claiming.set_members(host.membership.members());
         host.call_platform(now, out);
         host.finish_turn(now, out);
         host
@@ -208,7 +216,9 @@
         let lost = self.router.on_wake(now);
         self.deliveries.extend(lost);
         self.wake_queries(now, out);
-        self.wake_ticketing(now, out);
+        self.ticketing.tickets.on_wake(now);
+        self.wake_runs(now, out);
+        self.wake_claiming(now, out);
         let mut actions = Vec::new();
         self.admission.on_wake(now, &mut actions);
         self.on_admission(actions);
@@ -228,7 +238,9 @@
             self.router.next_wake(),
             self.fence.next_wake(),
             self.queries.next_wake(),
-            self.ticketing.next_wake(),
+            self.ticketing.tickets.next_wake(),
+            self.runs.next_wake(),
+            self.claiming.next_wake(),
             self.admission.next_wake(),
             self.sync.next_wake(),
             self.next_watch.filter(|_| !self.watching),
@@ -243,6 +255,7 @@
     fn start_turn(&mut self, now: Instant, out: &mut Vec<Action>) {
         let gap = now.saturating_duration_since(self.last_turn);
         self.last_turn = now;
+        self.backlog.on_turn(now, gap);
         self.has_shares = self.has_shares || self.admission.is_settled(now);
         if gap > PAUSE_GAP {
             self.fence.raise(now, self.other_members());
@@ -267,8 +280,8 @@
                 LegOrigin::Query(query) => {
                     self.deliver_to_query(now, query, delivery.attempt, delivery.result, out);
                 }
-                LegOrigin::Ticket(run) => {
-                    self.deliver_to_ticket(now, run, delivery.attempt, delivery.result, out);
+                LegOrigin::Run(run) => {
+                    self.deliver_to_run(now, run, delivery.attempt, delivery.result, out);
                 }
             }
         }
@@ -383,12 +396,7 @@
         }
     }
 
-    fn reply_leg(&mut self, to: &Name, attempt: AttemptId, result: LegResult) {
-        let done = LegDone { attempt, result };
-        self.router.push(to, PeerMessage::LegsDone(vec![done]));
-    }
-
-    fn on_leg_result(
+    pub(crate) fn on_leg_result(
         &mut self,
         now: Instant,
         from: &Name,
@@ -405,106 +413,6 @@
         }
     }
 
-    fn on_peer(&mut self, now: Instant, from: &Name, msg: PeerMessage, out: &mut Vec<Action>) {
-        self.router.on_heard(now, from);
-        match msg {
-            PeerMessage::Legs(batch) => {
-                let mut owner_out = OwnerOutput::default();
-                let stale = self.fence.is_stale(from);
-                for leg in batch.into_legs() {
-                    if stale {
-                        self.reply_leg(
-                            from,
-                            leg.attempt,
-                            LegResult::Refused(Refusal::DeadlinePassed),
-                        );
-                    } else if self.owners.owns(&leg.upstream) {
-                        self.owners.submit(now, leg, from.clone(), &mut owner_out);
-                    } else {
-                        self.refuse_not_owner(from, &leg);
-                    }
-                }
-                self.on_owner_output(now, owner_out, out);
-            }
-            PeerMessage::LegsDone(done) => {
-                for done in done {
-                    self.on_leg_result(now, from, done.attempt, done.result, out);
-                }
-            }
-            PeerMessage::CancelLegs(legs) => {
-                let mut owner_out = OwnerOutput::default();
-                for LegRef { attempt, upstream } in legs {
-                    self.owners.cancel(now, &upstream, attempt, &mut owner_out);
-                }
-                self.on_owner_output(now, owner_out, out);
-            }
-            PeerMessage::Handover { upstream, state } => {
-                let mut owner_out = OwnerOutput::default();
-                self.owners
-                    .on_handover(now, &upstream, state, &mut owner_out);
-                self.on_owner_output(now, owner_out, out);
-            }
-            PeerMessage::HandoverReleased { upstream, finished } => {
-                let mut owner_out = OwnerOutput::default();
-                self.owners
-                    .on_released(now, &upstream, finished, &mut owner_out);
-                self.on_owner_output(now, owner_out, out);
-            }
-            PeerMessage::Fence { number } => {
-                self.router.push(from, PeerMessage::FenceAck { number });
-            }
-            PeerMessage::FenceAck { number } => self.fence.on_ack(from, number),
-            PeerMessage::UpstreamsLeaving(names) => self.on_upstreams_leaving(now, names, out),
-            PeerMessage::PullConfig { after } => {
-                let msg = self.sync.on_pull(after);
-                self.router.push(from, msg);
-            }
-            PeerMessage::Config(update) => self.on_config_update(now, from, update, out),
-            PeerMessage::RunTicket(run) => self.on_run_ticket(now, from, run, out),
-            PeerMessage::TicketDone { request, result } => {
-                self.on_ticket_done(now, from, request, result, out);
-            }
-            PeerMessage::Admission(msg) => {
-                let mut actions = Vec::new();
-                self.admission.on_message(now, from, &msg, &mut actions);
-                self.on_admission(actions);
-            }
-            PeerMessage::Quarantine(marks) => {
-                for mark in marks {
-                    self.stats
-                        .quarantine_mut()
-                        .add(now, mark.fingerprint, mark.ttl);
-                }
-            }
-        }
-    }
-
-    fn refuse_not_owner(&mut self, from: &Name, leg: &LegRequest) {
-        let owner = self
-            .placement
-            .owner(&leg.upstream)
-            .filter(|owner| **owner != self.cfg.me.name)
-            .cloned();
-        let done = LegDone {
-            attempt: leg.attempt,
-            result: LegResult::Refused(Refusal::NotOwner { owner }),
-        };
-        self.router.push(from, PeerMessage::LegsDone(vec![done]));
-    }
-
-    fn on_peer_down(
-        &mut self,
-        now: Instant,
-        peer: &Name,
-        unsent: &[PeerMessage],
-        out: &mut Vec<Action>,
-    ) {
-        let lost = self.router.on_owner_down(peer, unsent);
-        self.deliveries.extend(lost);
-        self.sync.on_peer_down(peer);
-        self.on_ticket_host_down(now, peer, out);
-    }
-
     pub(crate) fn on_membership(
         &mut self,
         now: Instant,
@@ -539,6 +447,7 @@
             self.placement.set_members(&self.eligible_members());
             self.refresh_owners(now, out);
             self.refresh_hosts(now);
+            self.claiming.set_members(self.membership.members());
         }
     }
 
@@ -582,12 +491,17 @@
             .collect()
     }
 
-    /// Reports whether a message of a peer may have waited during a pause.
-    pub(crate) fn is_stale(&self, peer: &Name) -> bool {
-        self.fence.is_stale(peer)
+    /// Time left for a peer's request: none if it may have waited during a pause
+    /// of this process, so that it is not started.
+    pub(crate) fn fresh_budget(&self, peer: &Name, budget: Duration) -> Duration {
+        if self.fence.is_stale(peer) {
+            Duration::ZERO
+        } else {
+            budget
+        }
     }
 
-    fn on_admission(&mut self, actions: Vec<AdmissionAction>) {
+    pub(crate) fn on_admission(&mut self, actions: Vec<AdmissionAction>) {
         for AdmissionAction::Send { to, msg } in actions {
             self.router.push(&to, PeerMessage::Admission(msg));
         }
--- a/crates/cornelwinch_host/src/lib.rs
+++ b/crates/cornelwinch_host/src/lib.rs
@@ -5,15 +5,19 @@
 //! drive it on virtual time.
 
 mod action;
+mod claiming;
 mod configuration;
 mod fence;
 mod host;
 mod input;
 mod message;
 mod owners;
+mod pause;
+mod peers;
 mod queries;
 mod request;
 mod router;
+mod running;
 mod shutdown;
 mod silence;
 mod status;
@@ -25,8 +29,11 @@
 pub use input::{Input, PlatformEvent};
 pub use message::{
     ConfigUpdate, LegBatch, LegDone, LegItem, LegRef, PeerMessage, QuarantineMark, RelaySpan,
-    RunTicket,
+    RunClaim, RunTicket,
 };
 pub use owners::OwnedStatus;
-pub use request::{CallerAnswer, CallerRequest, QueryRequest, Rejection, TicketRequest};
+pub use request::{
+    CallerAnswer, CallerRequest, ClaimRequest, QueryRequest, Rejection, TicketRequest,
+};
+pub use running::RunId;
 pub use status::HostStatus;
--- a/crates/cornelwinch_host/src/status.rs
+++ b/crates/cornelwinch_host/src/status.rs
@@ -27,12 +27,19 @@
     pub confirmed: bool,
     /// Queries in progress.
     pub queries: usize,
+    /// Non-idempotent requests that run here or are awaited from another host.
+    pub runs: usize,
+    /// Requests that wait for their claim, and results that are not durable yet.
+    pub claims: usize,
     /// Legs sent without a result.
     pub legs: usize,
     /// Legs sent since the start.
     pub legs_total: u64,
     /// Hedges sent since the start.
     pub hedges_total: u64,
+    /// Age in milliseconds that requests may have because of a pause; those
+    /// that must not run late are refused if they have less time left.
+    pub backlog_ms: u64,
     /// Invariant violations since the start.
     pub violations: u64,
     pub(crate) members: Vec<MemberStatus>,
@@ -48,6 +55,12 @@
 }
 
 impl Host {
+    /// The age at the last turn; requests and timers come at most a turn apart.
+    fn backlog_ms(&self) -> u64 {
+        let age = self.backlog.age(self.last_turn);
+        u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Reports the state of this host.
     pub fn status(&self) -> HostStatus {
         let counters = self.stats.counters();
@@ -58,10 +71,16 @@
             ready: self.is_ready(),
             confirmed: self.membership.is_confirmed(),
             queries: self.queries.len(),
+            runs: self.runs.len(),
+            claims: self.claiming.pending(),
             legs: self.router.outstanding(),
             legs_total: counters.legs,
             hedges_total: counters.hedges,
-            violations: self.owners.violations() + self.sync.state.violations(),
+            backlog_ms: self.backlog_ms(),
+            violations: self.owners.violations()
+                + self.sync.state.violations()
+                + self.ticketing.tickets.violations()
+                + self.claiming.violations(),
             members: self
                 .membership
                 .members()
--- a/crates/cornelwinch_standins/src/upstream/mod.rs
+++ b/crates/cornelwinch_standins/src/upstream/mod.rs
@@ -42,6 +42,8 @@
     state: Mutex<UpstreamState>,
     /// Events held while frozen; `None` while running.
     held: Mutex<Option<Vec<Event>>>,
+    /// Serial numbers of legs that wait for a release; `None` without a hold.
+    unfinished: Mutex<Option<Vec<u64>>>,
 }
 
 /// Something that an upstream works on.
@@ -69,6 +71,7 @@
         state: Mutex::new(UpstreamState::new(cfg)),
         server: Mutex::new(None),
         held: Mutex::new(None),
+        unfinished: Mutex::new(None),
     };
     // The handler needs the finished handle, and the handle needs the port.
     let link = Arc::new(Mutex::new(Weak::new()));
@@ -105,6 +108,18 @@
         found.map_or(0, |i| counters.runs[i].1)
     }
 
+    /// Number of legs that arrived during a freeze and wait for its end.
+    pub fn held_legs(&self) -> usize {
+        let held = lock(&self.inner.held);
+        let requests = held.iter().flatten();
+        requests
+            .filter(|event| match event {
+                Event::Connected(req) | Event::Request(req) => req.method == "POST",
+                _ => false,
+            })
+            .count()
+    }
+
     /// Changes the upstream's behaviour. Restarts return when the port is
     /// bound again.
     ///
@@ -125,6 +140,15 @@
                     self.inner.handle(event);
                 }
             }
+            UpstreamFault::Hold => {
+                lock(&self.inner.unfinished).get_or_insert_default();
+            }
+            UpstreamFault::Release => {
+                let legs = lock(&self.inner.unfinished).take().unwrap_or_default();
+                for serial in legs {
+                    self.inner.handle(Event::Finish(serial));
+                }
+            }
             fault => lock(&self.inner.state).apply(fault),
         }
     }
@@ -224,6 +248,7 @@
             // The caller gave up while it was connecting.
             Event::Connected(req) if req.responder.is_caller_gone() => {}
             Event::Connected(req) | Event::Request(req) => self.serve(req, &mut out),
+            Event::Finish(serial) if self.holds(serial) => {}
             Event::Finish(serial) => lock(&self.state).finish(serial, &mut out),
             Event::Release(serial) => lock(&self.state).release_crossed(serial, &mut out),
             Event::Send(reply) => reply.send(),
@@ -239,6 +264,12 @@
         }
     }
 
+    /// Keeps the end of a leg for a release; false without a hold.
+    fn holds(&self, serial: u64) -> bool {
+        let mut unfinished = lock(&self.unfinished);
+        unfinished.as_mut().map(|legs| legs.push(serial)).is_some()
+    }
+
     fn serve(&self, req: HttpRequest, out: &mut Vec<Effect>) {
         let mut state = lock(&self.state);
         let cancelled = req.path().strip_prefix("/v1/leg/").map(str::parse);
--- a/crates/cornelwinch_tickets/src/claims.rs
+++ b/crates/cornelwinch_tickets/src/claims.rs
@@ -115,19 +115,11 @@
             return out.push(ClaimAction::Begin { waiter, key, begin });
         }
         let i = (xxh3_64(key.as_bytes()) % self.buckets.len() as u64) as usize;
-        let bucket = &mut self.buckets[i];
-        let away = bucket.away_until.is_some_and(|t| now < t);
-        let refusal = if deadline <= now {
-            Some("deadline_passed")
-        } else if away {
-            Some("platform_away")
-        } else {
-            None
-        };
-        if let Some(code) = refusal {
-            let begin = ClaimBegin::NotRun(code);
+        if deadline <= now {
+            let begin = ClaimBegin::NotRun("deadline_passed");
             return out.push(ClaimAction::Begin { waiter, key, begin });
         }
+        let bucket = &mut self.buckets[i];
         let claim_waiter = ClaimWaiter { waiter, deadline };
         match bucket.pending.iter_mut().find(|p| p.key == key) {
             Some(pending) if pending.fingerprint != fingerprint => {
@@ -143,6 +135,11 @@
             }),
         }
         self.drive(now, i, out);
+        // What is known of the bucket has decided what it can.
+        let bucket = &mut self.buckets[i];
+        if bucket.away_until.is_some_and(|t| now < t) {
+            self.refuse_away(i, out);
+        }
     }
 
     /// Records the result of a started request; returns the waiters that get
@@ -191,9 +188,7 @@
             }
             (BucketReply::Unavailable, _) => {
                 bucket.away_until = Some(now + AWAY_PAUSE);
-                for pending in mem::take(&mut bucket.pending) {
-                    refuse(pending, "platform_away", out);
-                }
+                self.refuse_away(i, out);
             }
             // The claims may be durable: they start only if a read, or the
             // conflict of a later write, shows them.
@@ -202,6 +197,24 @@
         self.drive(now, i, out);
     }
 
+    /// Ends the pending claims of a bucket that cannot be read. A key that
+    /// another incarnation has claimed may have run.
+    fn refuse_away(&mut self, i: usize, out: &mut Vec<ClaimAction>) {
+        let bucket = &mut self.buckets[i];
+        for pending in mem::take(&mut bucket.pending) {
+            let claims = &bucket.content.claims;
+            let record = bucket.content.find(&pending.key).map(|at| &claims[at]);
+            let is_foreign =
+                record.is_ok_and(|r| (&r.host, r.incarnation) != (&self.me, self.incarnation));
+            let begin = if is_foreign {
+                ClaimBegin::Unknown
+            } else {
+                ClaimBegin::NotRun("platform_away")
+            };
+            answer(pending, &begin, out);
+        }
+    }
+
     /// Time of the next call of [`on_wake`](Self::on_wake).
     pub fn next_wake(&self) -> Option<Instant> {
         let wakes = self.buckets.iter().flat_map(|b| {
@@ -223,6 +236,11 @@
         }
     }
 
+    /// Number of claims started here whose results are not known to be durable.
+    pub fn unsaved(&self) -> usize {
+        self.held.len()
+    }
+
     /// Number of failed invariant checks, for a metric.
     pub fn violations(&self) -> u64 {
         self.violations
@@ -370,14 +388,7 @@
                 bucket.pending.push(pending);
                 continue;
             };
-            for w in pending.waiters {
-                let (waiter, key) = (w.waiter, pending.key.clone());
-                out.push(ClaimAction::Begin {
-                    waiter,
-                    key,
-                    begin: begin.clone(),
-                });
-            }
+            answer(pending, &begin, out);
         }
     }
 
@@ -446,9 +457,15 @@
 }
 
 fn refuse(pending: PendingClaim, code: &'static str, out: &mut Vec<ClaimAction>) {
+    answer(pending, &ClaimBegin::NotRun(code), out);
+}
+
+fn answer(pending: PendingClaim, begin: &ClaimBegin, out: &mut Vec<ClaimAction>) {
     for w in pending.waiters {
-        let (waiter, key) = (w.waiter, pending.key.clone());
-        let begin = ClaimBegin::NotRun(code);
-        out.push(ClaimAction::Begin { waiter, key, begin });
+        out.push(ClaimAction::Begin {
+            waiter: w.waiter,
+            key: pending.key.clone(),
+            begin: begin.clone(),
+        });
     }
 }
