Keep the time of the next gossip out of the past

Cause: next_wake judged the news of zones at the time of the next gossip, on_wake judged it at the present time.

Ruled out: a timer of the host itself; all of those were in the future.

Change: on_wake moves the time on when there is no news.

Conclusion: no host spins after a pause.

--- a/crates/cornelwinch_membership/src/membership.rs
+++ b/crates/cornelwinch_membership/src/membership.rs
@@ -228,8 +228,13 @@
             self.periods += 1;
             self.probe_period(now, out);
         }
-        if now >= self.next_gossip && self.has_news(now) {
-            self.gossip(now, out);
+        if now >= self.next_gossip {
+            // Without news the time moves on as well: news that ended during a
+            // pause would leave it, and with it the next wake, in the past.
+            self.next_gossip = now;
+            if self.has_news(now) {
+                self.gossip(now, out);
+            }
         }
     }
 
--- a/crates/cornelwinch_membership/tests/process_pause.rs
+++ b/crates/cornelwinch_membership/tests/process_pause.rs
@@ -102,3 +102,31 @@
     let newest = new.and_then(|new| new.members().iter().find(|m| &*m.name == "a-1").cloned());
     assert_eq!(held.map(|m| m.incarnation), newest.map(|m| m.incarnation));
 }
+
+/// Guards against a timer that stays in the past: after a pause that outlasted
+/// the news of a zone, a host turned without end and extended its suspicions
+/// with each turn.
+#[test]
+fn no_timer_stays_due() {
+    let mut net = Net::settled(1, &["a", "a", "b"]);
+    net.nodes[2].side = 1;
+    let lost = |(_, action): &(_, _)| {
+        matches!(
+            action,
+            MembershipAction::ZoneReachable {
+                reachable: false,
+                ..
+            }
+        )
+    };
+    while !net.nodes[0].log.iter().any(lost) {
+        net.run(Duration::from_millis(100));
+    }
+    net.pause(0);
+    net.run(Duration::from_millis(2_500));
+    let now = net.now;
+    let membership = net.nodes[0].membership.as_mut().expect("the host runs");
+    let mut out = Vec::new();
+    membership.on_wake(now, &mut out);
+    assert!(membership.next_wake().is_some_and(|at| at > now));
+}
