--- a/crates/cornelwinch_membership/src/membership.rs
+++ b/crates/cornelwinch_membership/src/membership.rs
@@ -254,8 +254,13 @@
             self.check_state();
             self.probe_period(now, out);
         }
-        if now >= self.next_gossip && self.has_updates(now) {
-            self.gossip(now, out);
+        if now >= self.next_gossip {
+            // Without news the time moves on as well: news that ended during a
+            // pause would leave it, and with it the next wake, in the past.
+            self.next_gossip = now;
+            if self.has_updates(now) {
+                self.gossip(now, out);
+            }
         }
     }
 
