Count losses in a row during mass events

Cause: of several losses within one second of a mass event only the first counted, so a request that crashes upstreams while others restart could take down one upstream with every retry during that second. Change: a loss is ignored in a mass event only if its attempt was in progress at an earlier loss, told by the number of disconnects at its start. Four weak losses in a row quarantine a request. Plainer comments, panics documented.

--- a/crates/cornelwinch_gather/src/dispatch.rs
+++ b/crates/cornelwinch_gather/src/dispatch.rs
@@ -228,7 +228,7 @@
         stats.upstream(&upstream).on_sent(now);
         stats
             .quarantine
-            .start(now, fingerprint, attempt, range, upstream.clone());
+            .start(fingerprint, attempt, range, upstream.clone());
         self.attempts += 1;
         self.legs[shard].live.push(Live {
             attempt,
--- a/crates/cornelwinch_gather/src/gather.rs
+++ b/crates/cornelwinch_gather/src/gather.rs
@@ -89,6 +89,10 @@
 impl Gather {
     /// Starts a query: chooses a snapshot and sends one leg for each shard.
     /// Snapshots of other searches and invalid ones are ignored.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a finished answer fails its checks and the settings say so.
     pub fn start(
         now: Instant,
         spec: QuerySpec,
@@ -130,6 +134,10 @@
 
     /// Takes in the result of an attempt. Results of attempts that have ended
     /// are ignored.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a finished answer fails its checks and the settings say so.
     pub fn on_leg(
         &mut self,
         now: Instant,
@@ -190,6 +198,10 @@
     }
 
     /// Runs everything that is due.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a finished answer fails its checks and the settings say so.
     pub fn on_wake(&mut self, now: Instant, stats: &mut GatherStats, out: &mut Vec<GatherAction>) {
         if !self.finished {
             self.step(now, stats, out);
@@ -315,7 +327,7 @@
 
     fn finish(&mut self, now: Instant, stats: &mut GatherStats, out: &mut Vec<GatherAction>) {
         if now >= self.spec.deadline {
-            self.blame_hanging(now, stats);
+            self.count_hanging(now, stats);
         }
         for shard in 0..self.legs.len() {
             self.cancel_leg(now, shard, stats, out);
@@ -367,7 +379,7 @@
 
     /// Counts a failure of each upstream that kept an attempt until the deadline
     /// for much longer than usual. Its cancellation would hide that it hangs.
-    fn blame_hanging(&self, now: Instant, stats: &mut GatherStats) {
+    fn count_hanging(&self, now: Instant, stats: &mut GatherStats) {
         let QuerySpec { search, class, .. } = &self.spec;
         let Some(usual) = stats
             .latencies
--- a/crates/cornelwinch_gather/src/latency.rs
+++ b/crates/cornelwinch_gather/src/latency.rs
@@ -8,7 +8,7 @@
 const WINDOW: Duration = Duration::from_secs(10);
 /// Longest latency that is told apart, in microseconds.
 const MAX_MICROS: u64 = 60_000_000;
-/// Fewer samples than this say nothing about a high quantile.
+/// Fewer samples than this do not determine a high quantile.
 const MIN_SAMPLES: u64 = 100;
 /// The quantiles are computed again after this many samples; computing them
 /// for each leg would cost about 2 microseconds a leg.
--- a/crates/cornelwinch_gather/src/quarantine.rs
+++ b/crates/cornelwinch_gather/src/quarantine.rs
@@ -9,11 +9,12 @@
 pub struct QuarantineConfig {
     /// Time for which a request is refused.
     pub ttl: Duration,
-    /// Largest number of marks; the one that expires first gives way.
+    /// Largest number of marks; beyond it, the one that expires first is
+    /// dropped.
     pub marks: usize,
     /// Largest number of requests whose losses are remembered.
     pub suspects: usize,
-    /// Legs that a request which was not answered lately starts before the
+    /// Legs that a request which was not answered recently starts before the
     /// others; they start with the first answer. Both may crash their
     /// upstreams, so more than two break the bound. 0 starts all legs at once: a
     /// request that crashes every upstream then takes down as many as it has
@@ -140,21 +141,19 @@
         admit
     }
 
-    /// Reports whether the request was answered lately.
+    /// Reports whether the request was answered recently.
     pub(crate) fn is_proven(&self, fingerprint: Fingerprint) -> bool {
         self.suspects.is_proven(fingerprint)
     }
 
     pub(crate) fn start(
         &mut self,
-        now: Instant,
         fingerprint: Fingerprint,
         attempt: AttemptId,
         range: KeyRange,
         upstream: Name,
     ) {
-        self.suspects
-            .start(now, fingerprint, attempt, range, upstream);
+        self.suspects.start(fingerprint, attempt, range, upstream);
     }
 
     pub(crate) fn end(
--- a/crates/cornelwinch_gather/src/stats.rs
+++ b/crates/cornelwinch_gather/src/stats.rs
@@ -190,8 +190,8 @@
 
     /// Returns the hedge delay of a query, or `None` without hedging or with
     /// too few samples. A quantile that the budget cannot pay for is raised:
-    /// otherwise legs that are only a little slow would use up the hedges
-    /// before the stragglers get there.
+    /// otherwise legs that are slightly slow would use up the tokens before
+    /// the stragglers reach the delay.
     pub(crate) fn hedge_delay(&mut self, now: Instant, spec: &QuerySpec) -> Option<Duration> {
         let quantile = spec.policy.hedge_quantile?;
         let affordable = 1.0 - self.config.hedge_ratio * HEDGE_PLAN;
--- a/crates/cornelwinch_gather/src/suspect.rs
+++ b/crates/cornelwinch_gather/src/suspect.rs
@@ -20,7 +20,9 @@
 const ABANDONED_MAX: usize = 4096;
 /// Requests remembered as answered, in each of two generations.
 const PROVEN_MAX: usize = 8192;
-/// Weights of a disconnect, in halves: two full ones quarantine a request.
+/// Weights of a disconnect, in halves: two full ones quarantine a request. Weak
+/// ones bound a request that crashes upstreams while others restart: four in a
+/// row, each after the one before, quarantine it.
 const STRONG: u32 = 2;
 const WEAK: u32 = 1;
 const QUARANTINED: u32 = 4;
@@ -57,15 +59,18 @@
     }
 }
 
-/// Requests in progress, requests that lost legs, and requests answered lately.
+/// Requests in progress, requests that lost legs, and requests answered recently.
 #[derive(Debug, Default)]
 pub(crate) struct Suspects {
     /// By fingerprint.
     tracks: Vec<Track>,
     abandoned: VecDeque<(AttemptId, Fingerprint, Instant)>,
-    /// Disconnects of all requests, by time.
+    /// Disconnects so far. The time of a retry equals that of the loss before
+    /// it, so their order is told by this number.
+    disconnects: u64,
+    /// Recent disconnects of all requests, by time.
     events: VecDeque<(Instant, Name, Fingerprint)>,
-    /// Requests answered lately, in two generations, each by fingerprint.
+    /// Requests answered recently, in two generations, each by fingerprint.
     proven: [Vec<Fingerprint>; 2],
 }
 
@@ -81,7 +86,8 @@
     attempt: AttemptId,
     range: KeyRange,
     upstream: Name,
-    started: Instant,
+    /// Disconnects counted before its start.
+    started: u64,
     /// The request had been answered when the attempt started.
     proven: bool,
     /// Time of its cancellation.
@@ -91,8 +97,11 @@
 #[derive(Debug)]
 struct Loss {
     at: Instant,
+    number: u64,
     range: KeyRange,
     upstream: Name,
+    /// The attempt ran at the time of an earlier loss.
+    beside: bool,
     /// Set once the losses of the same event are known.
     weight: Option<u32>,
 }
@@ -144,7 +153,6 @@
 
     pub(crate) fn start(
         &mut self,
-        now: Instant,
         fingerprint: Fingerprint,
         attempt: AttemptId,
         range: KeyRange,
@@ -162,7 +170,7 @@
             );
             i
         });
-        let started = now;
+        let started = self.disconnects;
         let running = Running {
             attempt,
             range,
@@ -243,6 +251,7 @@
         }
         self.events
             .push_back((now, running.upstream.clone(), fingerprint));
+        self.disconnects += 1;
         for i in 0..self.tracks.len() {
             self.weigh(now, config, i);
         }
@@ -256,18 +265,18 @@
             return;
         };
         let losses = &mut self.tracks[i].losses;
-        // An attempt at an answered request that ran beside the first lost one
-        // says nothing more: one failure of a rack breaks both. The next
-        // attempt, alone, decides.
-        let beside = running.proven && losses.iter().any(|loss| loss.at >= running.started);
-        let weight = beside.then_some(0);
-        let Running {
-            range, upstream, ..
-        } = running;
+        let beside = losses.iter().any(|loss| loss.number > running.started);
+        // Of an answered request only the first of these counts: one failure of
+        // a rack breaks all attempts in progress. The next attempt, alone,
+        // decides.
+        let weight = (beside && running.proven).then_some(0);
+        let (range, upstream) = (running.range, running.upstream);
         losses.push(Loss {
             at: now,
+            number: self.disconnects,
             range,
             upstream,
+            beside,
             weight,
         });
     }
@@ -297,11 +306,7 @@
                 }
             }
             let mass = same.len() > config.crash_requests || others.len() >= config.mass_upstreams;
-            // Several losses in one mass event count once.
-            let repeated = losses[..j].iter().any(|l| {
-                l.weight == Some(WEAK) && loss.at.saturating_duration_since(l.at) <= EVENT
-            });
-            let weight = match (mass, repeated) {
+            let weight = match (mass, loss.beside) {
                 (false, _) => STRONG,
                 (true, false) => WEAK,
                 (true, true) => 0,
--- a/crates/cornelwinch_gather/src/upstream.rs
+++ b/crates/cornelwinch_gather/src/upstream.rs
@@ -46,11 +46,11 @@
     None,
     /// Does not hold the snapshot.
     Lacks,
-    /// Failed of late; an attempt is worth it only without a better replica.
+    /// Failed recently; used only if there is no better replica.
     Doubtful,
-    /// Failed of late; a single attempt finds out whether it is back.
+    /// Failed recently and is due for a probe by a single attempt.
     Probe,
-    /// Nothing speaks against it.
+    /// No known fault.
     Good,
 }
 
--- a/crates/cornelwinch_gather/tests/crash_quarantine.rs
+++ b/crates/cornelwinch_gather/tests/crash_quarantine.rs
@@ -137,15 +137,14 @@
 
 #[test]
 fn mass_restarts_quarantine_nothing() {
+    let lone = restart_upstreams(1, 2);
+    assert_eq!(lone, 1, "a lone request lost twice is not quarantined");
+    let harmless = restart_upstreams(20, 3);
+    assert_eq!(harmless, 0, "restarts quarantine harmless requests");
+    let repeated = restart_upstreams(20, 4);
     assert_eq!(
-        restart_upstreams(1, 2),
-        1,
-        "a lone request lost twice is not quarantined"
-    );
-    assert_eq!(
-        restart_upstreams(20, 2),
-        0,
-        "a restart quarantines harmless requests"
+        repeated, 20,
+        "four losses in a row in mass events are ignored"
     );
 }
 
