--- a/crates/cornelwinch_membership/src/exchange.rs
+++ b/crates/cornelwinch_membership/src/exchange.rs
@@ -4,6 +4,7 @@
 use cornelwinch_types::{Incarnation, Member, MemberState, Name};
 
 use crate::codec::{Body, Encoder, Frame, MAX_DATAGRAM, Record, decode};
+use crate::suspicion::Suspicion;
 use crate::sync::TABLE_ID;
 use crate::zone::DELEGATES;
 use crate::{Membership, MembershipAction};
@@ -249,10 +250,11 @@
         out.push(MembershipAction::Send { to, buf });
     }
 
-    /// Reports whether updates should be sent ahead of the next probe.
+    /// Reports whether something should be sent ahead of the next probe.
     pub(crate) fn has_updates(&self, now: Instant) -> bool {
         let is_new = |at: Instant| now < at + ZONE_GOSSIP;
         !self.local.is_empty()
+            || self.suspects.iter().any(Suspicion::is_probing)
             || !self.remote.is_empty()
             || self
                 .table
@@ -266,6 +268,7 @@
     /// delegate to a delegate of another zone.
     pub(crate) fn gossip(&mut self, now: Instant, out: &mut Vec<MembershipAction>) {
         self.next_gossip = now + self.cfg.period / GOSSIP_PER_PERIOD;
+        self.ping_suspects(now, out);
         let peers = self.random_peers(LOCAL_FANOUT, None);
         if peers.is_empty() {
             self.local.clear();
--- a/crates/cornelwinch_membership/src/probe.rs
+++ b/crates/cornelwinch_membership/src/probe.rs
@@ -48,7 +48,6 @@
         if let Some(target) = self.next_target() {
             self.start_probe(now, target, None, out);
         }
-        self.probe_suspects(now, out);
         if self.is_delegate() {
             self.probe_zones(now, out);
         }
@@ -110,7 +109,7 @@
         });
     }
 
-    fn take_number(&mut self) -> u64 {
+    pub(crate) fn take_number(&mut self) -> u64 {
         self.number += 1;
         self.number - 1
     }
--- a/crates/cornelwinch_membership/src/suspicion.rs
+++ b/crates/cornelwinch_membership/src/suspicion.rs
@@ -19,6 +19,12 @@
     probing: bool,
 }
 
+impl Suspicion {
+    pub(crate) fn is_probing(&self) -> bool {
+        self.probing
+    }
+}
+
 impl Membership {
     pub(crate) fn start_suspicion(&mut self, now: Instant, name: &Name) {
         let due = now + self.cfg.suspicion + self.cfg.period;
@@ -42,13 +48,14 @@
         }
     }
 
-    /// Probes the suspects this host is responsible for, so that they learn of
-    /// the suspicion even if datagrams are lost.
-    pub(crate) fn probe_suspects(&mut self, now: Instant, out: &mut Vec<MembershipAction>) {
+    /// Pings the suspects this host is responsible for, so that they learn of
+    /// the suspicion and their refutation arrives even if datagrams are lost.
+    pub(crate) fn ping_suspects(&mut self, now: Instant, out: &mut Vec<MembershipAction>) {
         let probing = self.suspects.iter().filter(|suspicion| suspicion.probing);
         let targets: Vec<Name> = probing.map(|suspicion| suspicion.name.clone()).collect();
         for target in targets {
-            self.start_probe(now, target, None, out);
+            let number = self.take_number();
+            self.send_to(now, &target, Body::Ping(number), out);
         }
     }
 
