Hold requests longer than an idle host stays in the shutdown test

Cause: a trial in which the host did not wait for its work passed graceful_shutdown.rs: the held requests were released within the second for which a host without work stays anyway. Ruled out: a longer balancer delay, which moves that second as well. Change: the requests are held for 1.5 s after the handover. Conclusion: the test sees a host that leaves before its work.

--- a/crates/cornelwinch_lab/src/drain.rs
+++ b/crates/cornelwinch_lab/src/drain.rs
@@ -18,6 +18,11 @@
 /// Deadline of the load's requests.
 const DEADLINE: Duration = Duration::from_secs(5);
 
+/// Time for which requests are held after the ownerships are handed over. It is
+/// longer than the second for which a host without work stays, so that a host
+/// that does not wait for its work has left.
+const HOLD: Duration = Duration::from_millis(1_500);
+
 /// Longest time for a host to exit once nothing is in progress.
 const EXIT_LIMIT: Duration = Duration::from_secs(20);
 
@@ -90,6 +95,7 @@
             owned[host] == 0 && owned.iter().sum::<usize>() == self.deployment.upstreams.len()
         });
         self.deployment.hosts[host].terminate();
+        thread::sleep(HOLD);
         let waited = self.deployment.hosts[host]
             .wait_exit(Duration::ZERO)
             .is_none();
