Cover joined copies, changed bodies and a stopped upstream

Cause: the fault cases did not show that copies at two hosts share one run and its rows, nor what another body or an upstream that refuses connections gets. Ruled out: nothing.

--- a/crates/cornelwinch_lab/src/faults.rs
+++ b/crates/cornelwinch_lab/src/faults.rs
@@ -1,9 +1,10 @@
+use std::cell::RefCell;
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 use cornelwinch_standins::documents;
 use cornelwinch_standins::upstream::{ColdStart, UpstreamFault};
-use cornelwinch_types::{KeyRange, SnapshotId};
+use cornelwinch_types::{KeyRange, SnapshotId, SortedMap};
 use serde_json::json;
 
 use crate::{
@@ -63,6 +64,8 @@
     pub deployment: Deployment,
     kind: IdKind,
     orders: u32,
+    /// Answers by description.
+    answers: RefCell<SortedMap<String, u32>>,
 }
 
 type Sent = JoinHandle<Result<Reply, String>>;
@@ -91,6 +94,7 @@
             deployment: Deployment::spawn(shape, program)?,
             kind,
             orders: 0,
+            answers: RefCell::default(),
         };
         lab.settle();
         Ok(lab)
@@ -185,6 +189,20 @@
 
     /// Describes the answer to a copy: `done` only with the rows it must have.
     pub fn describe(&self, req: &RunRequest, reply: Result<Reply, String>) -> String {
+        let text = Self::description(req, reply);
+        let mut answers = self.answers.borrow_mut();
+        *answers.get_or_insert_with(text.clone(), || 0) += 1;
+        text
+    }
+
+    /// Number of answers by description, for the output of a test.
+    pub fn tally(&self) -> String {
+        let answers = self.answers.borrow();
+        let counts = answers.iter().map(|(text, n)| format!("{n} {text}"));
+        counts.collect::<Vec<_>>().join(", ")
+    }
+
+    fn description(req: &RunRequest, reply: Result<Reply, String>) -> String {
         let Ok(reply) = reply else {
             return "cut".into();
         };
--- a/crates/cornelwinch_lab/src/scenarios.rs
+++ b/crates/cornelwinch_lab/src/scenarios.rs
@@ -88,6 +88,32 @@
         lines
     }
 
+    /// Sends a copy to each host while the request runs, and then one with
+    /// another body.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the thread of a caller has panicked.
+    pub fn join_copies(&mut self) -> Vec<String> {
+        self.settle();
+        let req = self.order(HOME);
+        self.apply(&UpstreamFault::Hold);
+        let first = self.start_running(HOME, &req);
+        let copy = self.start_copy(OTHER, &req, 1);
+        self.apply(&UpstreamFault::Release);
+        let copy = copy.join().expect("the caller's thread ends");
+        let copies = format!(
+            "{}, {}",
+            self.describe(&req, copy),
+            self.finish(&req, first, &BOTH)
+        );
+        let changed = RunRequest {
+            body: format!("{} changed", req.body),
+            ..req
+        };
+        vec![copies, self.resend(&changed, &BOTH)]
+    }
+
     /// Kills the home while one request has been answered, one runs and one
     /// waits, then starts it again. The lines give the first copies at another
     /// host, then copies while the home is away and once it is back.
@@ -169,8 +195,9 @@
     }
 
     /// Restarts the upstream while a request runs, freezes it past the
-    /// deadline while one runs and while one waits.
+    /// deadline while one runs and while one waits, and stops it before one.
     pub fn lose_upstream(&mut self) -> Vec<String> {
+        self.settle();
         let restarted = self.order(HOME);
         self.apply(&UpstreamFault::Hold);
         let sent = self.start_running(HOME, &restarted);
@@ -190,6 +217,12 @@
         self.wait_run(&waiting);
         self.apply(&UpstreamFault::Release);
         lines.push(format!("{waiting_line}; {}", self.resend(&waiting, &BOTH)));
+
+        let stopped = self.order(HOME);
+        let upstream = self.deployment.upstream(UPSTREAM).clone();
+        upstream.apply(UpstreamFault::Stop);
+        lines.push(self.resend(&stopped, &BOTH));
+        upstream.apply(UpstreamFault::Start);
         lines
     }
 
--- a/tests/claim_faults.rs
+++ b/tests/claim_faults.rs
@@ -8,6 +8,11 @@
     let program = HostProgram::new(env!("CARGO_BIN_EXE_cornelwinchd"));
     let mut lab = FaultLab::spawn(IdKind::Own, &program).unwrap();
     assert_eq!(lab.cut_callers(), ["done, done, runs 1"; 6]);
+    let lines = [
+        "done, done, done, done, runs 1",
+        "not_run other_request, not_run other_request, runs 0",
+    ];
+    assert_eq!(lab.join_copies(), lines);
     let away = "not_run unclaimed_platform_away";
     let line = format!("{away}, {away}, runs 0; done, done, runs 1; known done, runs 1");
     assert_eq!(lab.lose_platform(), vec![line; 3]);
@@ -18,6 +23,7 @@
         "unknown, unknown, unknown, runs 1",
         "unknown, unknown, unknown, runs 1",
         "unknown, runs 0; unknown, unknown, runs 1",
+        "done, done, runs 1",
     ];
     assert_eq!(lab.lose_upstream(), lines);
     // The other host claims the key itself while the home is frozen.
@@ -44,4 +50,5 @@
     ];
     assert_eq!(lab.kill_owner(), lines);
     assert_eq!(lab.violations(), 0);
+    println!("answers: {}", lab.tally());
 }
