Answer late copies of a key from what is known of it

Cause: a copy whose deadline had passed, in its host's pause or while it waited, was refused as not run even if its host knew the result or that another incarnation had claimed the key. Ruled out: an exchange with the platform for a late copy; nobody waits for it. Change: a late copy gets the known result, and unknown for a key that another incarnation is known to have claimed.

--- a/crates/cornelwinch_tickets/src/claims.rs
+++ b/crates/cornelwinch_tickets/src/claims.rs
@@ -116,7 +116,7 @@
         }
         let i = (xxh3_64(key.as_bytes()) % self.buckets.len() as u64) as usize;
         if deadline <= now {
-            let begin = ClaimBegin::NotRun("deadline_passed");
+            let begin = self.late(i, &key, fingerprint);
             return out.push(ClaimAction::Begin { waiter, key, begin });
         }
         let bucket = &mut self.buckets[i];
@@ -197,24 +197,39 @@
         self.drive(now, i, out);
     }
 
-    /// Ends the pending claims of a bucket that cannot be read. A key that
-    /// another incarnation has claimed may have run.
+    /// Ends the pending claims of a bucket that cannot be read.
     fn refuse_away(&mut self, i: usize, out: &mut Vec<ClaimAction>) {
-        let bucket = &mut self.buckets[i];
-        for pending in mem::take(&mut bucket.pending) {
-            let claims = &bucket.content.claims;
-            let record = bucket.content.find(&pending.key).map(|at| &claims[at]);
-            let is_foreign =
-                record.is_ok_and(|r| (&r.host, r.incarnation) != (&self.me, self.incarnation));
-            let begin = if is_foreign {
-                ClaimBegin::Unknown
-            } else {
-                ClaimBegin::NotRun("platform_away")
-            };
+        for pending in mem::take(&mut self.buckets[i].pending) {
+            let begin = self.refusal(i, &pending.key, "platform_away");
             answer(pending, &begin, out);
         }
     }
 
+    /// Decides about a copy whose deadline has passed.
+    fn late(&self, i: usize, key: &str, fingerprint: Fingerprint) -> ClaimBegin {
+        let content = &self.buckets[i].content;
+        match content.find(key).map(|at| &content.claims[at]) {
+            Ok(record) if record.fingerprint != fingerprint => ClaimBegin::Conflict,
+            Ok(ClaimRecord {
+                result: Some(result),
+                ..
+            }) => ClaimBegin::Finished(result.clone()),
+            _ => self.refusal(i, key, "deadline_passed"),
+        }
+    }
+
+    /// Refusal of a copy that is not decided. A key that another incarnation
+    /// is known to have claimed may have run.
+    fn refusal(&self, i: usize, key: &str, code: &'static str) -> ClaimBegin {
+        let content = &self.buckets[i].content;
+        let record = content.find(key).map(|at| &content.claims[at]);
+        if record.is_ok_and(|r| (&r.host, r.incarnation) != (&self.me, self.incarnation)) {
+            ClaimBegin::Unknown
+        } else {
+            ClaimBegin::NotRun(code)
+        }
+    }
+
     /// Time of the next call of [`on_wake`](Self::on_wake).
     pub fn next_wake(&self) -> Option<Instant> {
         let wakes = self.buckets.iter().flat_map(|b| {
@@ -247,14 +262,16 @@
     }
 
     fn expire(&mut self, now: Instant, i: usize, out: &mut Vec<ClaimAction>) {
-        for pending in &mut self.buckets[i].pending {
+        let mut all = mem::take(&mut self.buckets[i].pending);
+        for pending in &mut all {
             for late in pending.waiters.extract_if(.., |w| w.deadline <= now) {
-                let begin = ClaimBegin::NotRun("deadline_passed");
                 let (waiter, key) = (late.waiter, pending.key.clone());
+                let begin = self.refusal(i, &key, "deadline_passed");
                 out.push(ClaimAction::Begin { waiter, key, begin });
             }
         }
-        self.buckets[i].pending.retain(|p| !p.waiters.is_empty());
+        all.retain(|p| !p.waiters.is_empty());
+        self.buckets[i].pending = all;
     }
 
     /// Takes the present content of a bucket.
--- a/crates/cornelwinch_tickets/tests/known_results.rs
+++ b/crates/cornelwinch_tickets/tests/known_results.rs
@@ -44,7 +44,11 @@
     };
     let known = begin(3, "key", ClaimBegin::Finished(result));
     let refused = begin(4, "third", ClaimBegin::NotRun("platform_away"));
-    assert_eq!(out, [known, refused]);
+    assert_eq!(out, [known.clone(), refused]);
+    // Nor does a copy whose time is over hide the result.
+    out.clear();
+    claims.claim(now, "key", body, 3, now, &mut out);
+    assert_eq!(out, [known]);
 }
 
 #[test]
@@ -72,7 +76,9 @@
     claims.claim(now, "other", body, 1, deadline, &mut out);
     claims.on_reply(now, 0, BucketReply::Present { version: 1, value }, &mut out);
     claims.on_reply(now, 0, BucketReply::Unavailable, &mut out);
-    for (waiter, now) in [(2, now), (3, now + Duration::from_secs(1))] {
+    let later = now + Duration::from_secs(1);
+    // The third copy arrives when its time is over.
+    for (waiter, now, deadline) in [(2, now, deadline), (3, later, deadline), (4, later, later)] {
         out.clear();
         claims.claim(now, "key", body, waiter, deadline, &mut out);
         claims.on_reply(now, 0, BucketReply::Unavailable, &mut out);
