--- a/crates/cornelwinch_gather/src/dispatch.rs
+++ b/crates/cornelwinch_gather/src/dispatch.rs
@@ -95,6 +95,7 @@
         let range = snapshot.shards[shard].range;
         let admit = stats.quarantine.admit(now, self.spec.fingerprint, range);
         if admit == Admit::Wait {
+            // A retry time that has passed would keep the next wake in the past.
             leg.retry_at = None;
             self.held_until = Some(now + HELD_POLL);
         }
--- a/crates/cornelwinch_host/src/host.rs
+++ b/crates/cornelwinch_host/src/host.rs
@@ -82,6 +82,8 @@
     pub(crate) watching: bool,
     pub(crate) next_watch: Option<Instant>,
     pub(crate) next_hosts: Option<Instant>,
+    /// Time from which the list of leaving upstreams is sent without a change.
+    pub(crate) next_leaving: Instant,
     pub(crate) draining: Option<Draining>,
     pub(crate) fence: Fence,
     pub(crate) last_turn: Instant,
@@ -136,6 +138,7 @@
             watching: false,
             next_watch: Some(now),
             next_hosts: Some(now),
+            next_leaving: now,
             draining: None,
             fence: Fence::default(),
             last_turn: now,
@@ -525,16 +528,9 @@
             return;
         }
         log::warn!("event=request_quarantined count={}", marks.len());
-        let others: Vec<Name> = self
-            .membership
-            .members()
-            .iter()
-            .filter(|member| member.can_own() && member.name != self.cfg.me.name)
-            .map(|member| member.name.clone())
-            .collect();
-        for name in others {
-            self.router
-                .push(&name, PeerMessage::Quarantine(marks.clone()));
-        }
+        self.spread_everywhere(|relay| PeerMessage::Quarantine {
+            marks: marks.clone(),
+            relay,
+        });
     }
 }
--- a/crates/cornelwinch_host/src/lib.rs
+++ b/crates/cornelwinch_host/src/lib.rs
@@ -20,6 +20,7 @@
 mod running;
 mod shutdown;
 mod silence;
+mod spread;
 mod status;
 mod sync;
 mod ticketing;
@@ -28,8 +29,8 @@
 pub use host::{Host, HostConfig, Routing};
 pub use input::{Input, PlatformEvent};
 pub use message::{
-    ConfigUpdate, LegBatch, LegDone, LegItem, LegRef, PeerMessage, QuarantineMark, RelaySpan,
-    RunClaim, RunTicket,
+    ConfigUpdate, LegBatch, LegDone, LegItem, LegRef, PeerMessage, QuarantineMark, Relay,
+    RelaySpan, RunClaim, RunTicket,
 };
 pub use owners::OwnedStatus;
 pub use request::{
--- a/crates/cornelwinch_host/src/peers.rs
+++ b/crates/cornelwinch_host/src/peers.rs
@@ -55,7 +55,13 @@
                 self.router.push(from, PeerMessage::FenceAck { number });
             }
             PeerMessage::FenceAck { number } => self.fence.on_ack(from, number),
-            PeerMessage::UpstreamsLeaving(names) => self.on_upstreams_leaving(now, names, out),
+            PeerMessage::UpstreamsLeaving { upstreams, relay } => {
+                self.pass_on(&relay, from, |relay| PeerMessage::UpstreamsLeaving {
+                    upstreams: upstreams.clone(),
+                    relay,
+                });
+                self.on_upstreams_leaving(now, upstreams, out);
+            }
             PeerMessage::PullConfig { after } => {
                 let msg = self.sync.on_pull(after);
                 self.router.push(from, msg);
@@ -71,7 +77,11 @@
                 self.admission.on_message(now, from, &msg, &mut actions);
                 self.on_admission(actions);
             }
-            PeerMessage::Quarantine(marks) => {
+            PeerMessage::Quarantine { marks, relay } => {
+                self.pass_on(&relay, from, |relay| PeerMessage::Quarantine {
+                    marks: marks.clone(),
+                    relay,
+                });
                 for mark in marks {
                     self.stats
                         .quarantine_mut()
--- a/crates/cornelwinch_lab/src/faults.rs
+++ b/crates/cornelwinch_lab/src/faults.rs
@@ -1,6 +1,6 @@
 use std::cell::RefCell;
-use std::thread::{self, JoinHandle};
-use std::time::{Duration, Instant};
+use std::thread::JoinHandle;
+use std::time::Duration;
 
 use cornelwinch_standins::documents;
 use cornelwinch_standins::upstream::{ColdStart, UpstreamFault};
@@ -9,7 +9,7 @@
 
 use crate::{
     Caller, Deployment, DeploymentShape, HostProcess, HostProgram, LabError, Reply, RunKey,
-    RunRequest, SearchShape,
+    RunRequest, SearchShape, poll_until,
 };
 
 const SEARCH: &str = "stock";
@@ -29,19 +29,14 @@
 
 /// Longest wait for an event; it only bounds a run that has failed.
 const EVENT_LIMIT: Duration = Duration::from_secs(30);
-const POLL: Duration = Duration::from_millis(5);
 
 /// Waits for an event.
 ///
 /// # Panics
 ///
 /// Panics if it does not happen in time.
-pub fn wait_until(event: &str, mut happened: impl FnMut() -> bool) {
-    let start = Instant::now();
-    while !happened() {
-        assert!(start.elapsed() < EVENT_LIMIT, "no event: {event}");
-        thread::sleep(POLL);
-    }
+pub fn wait_until(event: &str, happened: impl FnMut() -> bool) {
+    assert!(poll_until(EVENT_LIMIT, happened), "no event: {event}");
 }
 
 /// What identifies the requests of a case.
--- a/crates/cornelwinch_limiter/src/ramp.rs
+++ b/crates/cornelwinch_limiter/src/ramp.rs
@@ -21,12 +21,13 @@
 const COLD_FACTOR: f64 = 1.5;
 /// Answers whose median is compared with the usual service time.
 const RECENT: usize = 5;
-/// Largest number of successes that a cold start is expected to take.
-const WARM_AFTER_MAX: usize = 4_096;
 /// Weight of an answer at the usual speed towards the end of a cold start; a
 /// slow answer has weight 1, so that a lasting change of the service time
 /// cannot hold an upstream cold for ever.
 const FAST_WEIGHT: usize = 8;
+/// Most successes that a cold start is taken to last. At the cold limit of 1 and
+/// 6 ms for a leg they take 3 s.
+const WARM_AFTER_MAX: usize = 512;
 /// Weight of a new sample in the averages of the service time.
 const SMOOTHING: f64 = 0.125;
 
@@ -36,6 +37,9 @@
 pub(crate) struct Ramp {
     slots: usize,
     cold_limit: usize,
+    /// Successes that end a cold start. It doubles when the upstream sheds soon
+    /// after that many, because each fall starts its cold start anew: with a
+    /// fixed number below the true one it would never get warm.
     warm_after: usize,
     limit: usize,
     /// Below this limit a round of successes doubles the limit, above it adds 1.
