State the measured cost of membership

Cause: the budget per node is 4 KB/s and 1.9 % of a core; the times to notice a crash decide the guard interval of a takeover. Ruled out: a figure per restart; the 120 s runs hold about 21 restarts only. Change: the crate's documentation names the main figures. Crash known in the zone, median and p99: 4.6 and 6.6 s (5), 5.0 and 8.2 s (50), 5.0 and 7.5 s (376).

--- a/crates/cornelwinch_membership/src/lib.rs
+++ b/crates/cornelwinch_membership/src/lib.rs
@@ -2,6 +2,11 @@
 //!
 //! [`Membership`] is a state machine without sockets: datagrams and time go
 //! in, datagrams and changes of members come out.
+//!
+//! With default times a crash is known in the whole zone after 5 s in the
+//! median and 8 s at the 99th percentile, with 5 to 376 hosts. An idle host
+//! sends 230 bytes/s, a delegate with 20 other zones 620 bytes/s, IP and UDP
+//! headers included. `examples/swim_cost.rs` prints these and more figures.
 
 mod action;
 mod codec;
