Test the spread of the configuration under faults

Cause: the configuration path had no test with faults. A seeded test on virtual time now runs 12 hosts in two zones with platform outages, lost messages, a zone cut off, restarts, pauses and racing changes.

- A host passed on only the entries that came newly into force.
An entry that it had received out of order was left out, yet the message said that it was complete, so that receivers never asked for it.
- A starting host waited for ever for a revision that a peer had announced and lost with a restart in an outage.

Ruled out: clearing the announced revision on every shorter answer; a relayed update does not say what its sender holds.

Change: a relay carries all entries after the receiver's revision. A pulled answer below the announced revision withdraws the announcement. Host::config shows the configuration in force.

--- a/crates/cornelwinch_host/src/host.rs
+++ b/crates/cornelwinch_host/src/host.rs
@@ -1,6 +1,7 @@
 use std::time::{Duration, Instant};
 
 use cornelwinch_admission::{Admission, AdmissionAction, AdmissionConfig};
+use cornelwinch_config::ConfigState;
 use cornelwinch_gather::{GatherConfig, GatherStats};
 use cornelwinch_membership::{Membership, MembershipAction, MembershipConfig};
 use cornelwinch_placement::Placement;
@@ -140,6 +141,11 @@
         &self.cfg.me.name
     }
 
+    /// Configuration in force on this host.
+    pub fn config(&self) -> &ConfigState {
+        &self.sync.state
+    }
+
     /// Reports whether a load balancer may route requests to this host.
     pub fn is_ready(&self) -> bool {
         self.draining.is_none() && self.sync.is_ready() && self.has_shares && !self.is_host_out()
--- a/crates/cornelwinch_host/src/sync.rs
+++ b/crates/cornelwinch_host/src/sync.rs
@@ -73,7 +73,7 @@
         let messages = if entries.is_empty() || after == Revision(0) {
             Vec::new()
         } else {
-            self.relay(&entries, after, me, zone)
+            self.relay(after, me, zone)
         };
         Applied { entries, messages }
     }
@@ -143,6 +143,17 @@
     ) -> Applied {
         let mut applied = Applied::default();
         let held = self.state.revision();
+        // A peer that restarted in an outage may lack what it announced before;
+        // it announces its revision again with each datagram.
+        if update.relay.is_none()
+            && self
+                .highest
+                .as_ref()
+                .is_some_and(|(revision, name)| name == from && *revision > update.through)
+        {
+            self.highest = None;
+            self.pull = None;
+        }
         if update.through <= held {
             return applied;
         }
@@ -164,20 +175,17 @@
                 .filter(|name| **name >= span.first && **name <= span.last && *name != me)
                 .cloned()
                 .collect();
-            let relayed = self.relay(&applied.entries, update.after, me, &members);
+            let relayed = self.relay(update.after, me, &members);
             applied.messages.extend(relayed);
         }
         applied
     }
 
-    /// Divides the members into spans and sends the update to the first of each.
-    fn relay(
-        &self,
-        entries: &[Entry],
-        after: Revision,
-        me: &Name,
-        members: &[Name],
-    ) -> Vec<(Name, PeerMessage)> {
+    /// Divides the members into spans and sends the entries after a revision to
+    /// the first of each. An entry that this host had out of order is not newly
+    /// applied, but the receivers need it as well.
+    fn relay(&self, after: Revision, me: &Name, members: &[Name]) -> Vec<(Name, PeerMessage)> {
+        let entries = self.state.entries_after(after);
         let others: Vec<&Name> = members.iter().filter(|name| *name != me).collect();
         let size = others.len().div_ceil(RELAY_FANOUT).max(1);
         others
@@ -190,7 +198,7 @@
                 let update = ConfigUpdate {
                     after,
                     through: self.state.revision(),
-                    entries: entries.to_vec(),
+                    entries: entries.clone(),
                     relay,
                 };
                 (span[0].clone(), PeerMessage::Config(update))
--- /dev/null
+++ b/crates/cornelwinch_host/tests/fake/mod.rs
@@ -0,0 +1,468 @@
+//! Hosts on virtual time with a network and a platform in memory, as far as the
+//! spread of the configuration needs them.
+
+mod checks;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use cornelwinch_config::{Entry, EntryValue, Kind, ServiceState, ZoneSpec};
+use cornelwinch_host::{Action, Host, HostConfig, Input, PlatformCall, PlatformEvent, Routing};
+use cornelwinch_membership::{DatagramKey, ListedHost, MembershipConfig};
+use cornelwinch_types::{Incarnation, Member, MemberState, Name, Revision};
+
+const HOSTS: usize = 12;
+const LATENCY: Duration = Duration::from_millis(1);
+/// Time after which a call without an answer fails, as in the daemon.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Turns at one moment after which a host has timers that never end.
+const TURNS: u32 = 10_000;
+const PROBE_PERIOD: Duration = Duration::from_millis(50);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Outage {
+    None,
+    Fails,
+    Silent,
+}
+
+pub(crate) struct Node {
+    host: Option<Host>,
+    generation: u64,
+    up_since: Instant,
+    paused: bool,
+    held: Vec<Input>,
+    /// Times at which the revision rose.
+    revisions: Vec<(Instant, Revision)>,
+    entries: BTreeMap<(Kind, Name), Revision>,
+    served: bool,
+    from_platform: bool,
+}
+
+enum Event {
+    Input(usize, u64, Input),
+    Platform(usize, u64, PlatformCall),
+    Probe,
+}
+
+struct Watch {
+    node: usize,
+    generation: u64,
+    after: Revision,
+    until: Instant,
+}
+
+pub(crate) struct World {
+    pub(crate) rng: fastrand::Rng,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) loss: f64,
+    /// Every write: revision is the position plus 1.
+    pub(crate) history: Vec<Entry>,
+    seed: u64,
+    now: Instant,
+    serial: u64,
+    events: BTreeMap<(Instant, u64), Event>,
+    outage: Outage,
+    outage_since: Instant,
+    /// Zone b cannot reach zone a or the platform.
+    cut: bool,
+    cut_changed: Instant,
+    deaf: bool,
+    watches: Vec<Watch>,
+}
+
+fn address(node: usize, port: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, node as u8 + 1], port))
+}
+
+fn zone(node: usize) -> Name {
+    ["a", "b"][node % 2].into()
+}
+
+fn name(node: usize) -> Name {
+    format!("{}-{:02}", zone(node), node / 2).into()
+}
+
+fn node_of(addr: SocketAddr) -> usize {
+    let SocketAddr::V4(addr) = addr else {
+        panic!("an IPv6 address");
+    };
+    usize::from(addr.ip().octets()[3]) - 1
+}
+
+impl World {
+    pub(crate) fn new(seed: u64) -> Self {
+        let now = Instant::now();
+        let node = || Node {
+            host: None,
+            generation: 0,
+            up_since: now,
+            paused: false,
+            held: Vec::new(),
+            revisions: Vec::new(),
+            entries: BTreeMap::new(),
+            served: false,
+            from_platform: false,
+        };
+        let mut world = Self {
+            rng: fastrand::Rng::with_seed(seed),
+            nodes: (0..HOSTS).map(|_| node()).collect(),
+            loss: 0.0,
+            history: Vec::new(),
+            seed,
+            now,
+            serial: 0,
+            events: BTreeMap::new(),
+            outage: Outage::None,
+            outage_since: now,
+            cut: false,
+            cut_changed: now,
+            deaf: false,
+            watches: Vec::new(),
+        };
+        world.push(Duration::ZERO, Event::Probe);
+        (0..HOSTS).for_each(|node| world.start(node));
+        world
+    }
+
+    fn push(&mut self, delay: Duration, event: Event) {
+        self.serial += 1;
+        self.events.insert((self.now + delay, self.serial), event);
+    }
+
+    pub(crate) fn start(&mut self, node: usize) {
+        if self.nodes[node].host.is_some() {
+            return;
+        }
+        let me = Member {
+            name: name(node),
+            zone: zone(node),
+            incarnation: Incarnation(self.serial + 1),
+            peer: address(node, 1),
+            gossip: address(node, 2),
+            state: MemberState::Alive,
+        };
+        let key = DatagramKey::derive("test", b"secret");
+        let seeds = (0..4).map(|node| address(node, 2)).collect();
+        let membership = MembershipConfig::new(key, seeds);
+        let cfg = HostConfig {
+            me,
+            routing: Routing::Owner,
+            suspicion: membership.suspicion,
+            membership,
+            guard: Duration::from_secs(2),
+            settle: Duration::ZERO,
+            queue_per_upstream: 16,
+            queries: 16,
+            balancer_delay: Duration::from_millis(500),
+            drain_limit: Duration::from_secs(5),
+        };
+        let mut out = Vec::new();
+        let host = Host::open(self.now, cfg, self.rng.fork(), &mut out);
+        let now = self.now;
+        let held = &mut self.nodes[node];
+        held.host = Some(host);
+        held.generation += 1;
+        held.up_since = now;
+        held.paused = false;
+        held.held.clear();
+        held.revisions = Vec::new();
+        held.entries.clear();
+        held.served = false;
+        held.from_platform = false;
+        self.act(node, out);
+    }
+
+    pub(crate) fn stop(&mut self, node: usize) {
+        let held = &mut self.nodes[node];
+        held.host = None;
+        held.generation += 1;
+        held.paused = false;
+    }
+
+    pub(crate) fn pause(&mut self, node: usize) {
+        self.nodes[node].paused = self.nodes[node].host.is_some();
+    }
+
+    pub(crate) fn resume(&mut self, node: usize) {
+        if std::mem::take(&mut self.nodes[node].paused) {
+            self.nodes[node].up_since = self.now;
+            for input in std::mem::take(&mut self.nodes[node].held) {
+                self.handle(node, input);
+            }
+        }
+    }
+
+    pub(crate) fn set_outage(&mut self, outage: Outage) {
+        if self.outage != outage {
+            self.outage_since = self.now;
+        }
+        self.outage = outage;
+        if outage != Outage::Silent {
+            // Waiting watches fail when a failing outage starts and when the
+            // platform returns.
+            for watch in std::mem::take(&mut self.watches) {
+                self.answer(watch.node, watch.generation, PlatformEvent::ChangesFailed);
+            }
+        }
+    }
+
+    pub(crate) fn set_cut(&mut self, cut: bool) {
+        if self.cut != cut {
+            self.cut_changed = self.now;
+        }
+        self.cut = cut;
+    }
+
+    /// While deaf, hosts get datagrams but no messages.
+    pub(crate) fn set_deaf(&mut self, deaf: bool) {
+        self.deaf = deaf;
+    }
+
+    pub(crate) fn end_faults(&mut self) {
+        self.set_outage(Outage::None);
+        self.set_cut(false);
+        self.loss = 0.0;
+        for node in 0..HOSTS {
+            self.start(node);
+            self.resume(node);
+        }
+    }
+
+    /// Changes a random entry at the platform.
+    pub(crate) fn write(&mut self) {
+        self.write_unseen(1);
+        if self.outage != Outage::Silent {
+            for watch in std::mem::take(&mut self.watches) {
+                if self.platform_reachable(watch.node) {
+                    let event = self.changes(watch.after);
+                    self.answer(watch.node, watch.generation, event);
+                } else {
+                    self.watches.push(watch);
+                }
+            }
+        }
+    }
+
+    /// Changes entries without telling any watch.
+    pub(crate) fn write_unseen(&mut self, count: usize) -> Vec<Entry> {
+        for _ in 0..count {
+            let revision = Revision(self.history.len() as u64 + 1);
+            let spec = ZoneSpec {
+                region: "test".into(),
+                state: ServiceState::In,
+            };
+            let value = (self.rng.u32(..5) > 0).then_some(spec);
+            self.history.push(Entry {
+                name: format!("z{}", self.rng.u32(..6)).into(),
+                revision,
+                change: format!("c{revision}").into(),
+                value: EntryValue::Zone(value),
+            });
+        }
+        self.history[self.history.len() - count..].to_vec()
+    }
+
+    /// The latest change of each entry after a revision.
+    fn changes(&self, after: Revision) -> PlatformEvent {
+        let mut latest: BTreeMap<Name, Entry> = BTreeMap::new();
+        for entry in &self.history {
+            latest.insert(entry.name.clone(), entry.clone());
+        }
+        let mut entries: Vec<Entry> = latest.into_values().collect();
+        entries.retain(|entry| entry.revision > after);
+        entries.sort_by_key(|entry| entry.revision);
+        PlatformEvent::Changes {
+            entries,
+            through: Revision(self.history.len() as u64),
+        }
+    }
+
+    fn platform_reachable(&self, node: usize) -> bool {
+        !(self.cut && node % 2 == 1)
+    }
+
+    fn answer(&mut self, node: usize, generation: u64, event: PlatformEvent) {
+        self.push(
+            LATENCY,
+            Event::Input(node, generation, Input::Platform(event)),
+        );
+    }
+
+    fn call(&mut self, node: usize, generation: u64, call: &PlatformCall) {
+        let silent = self.outage == Outage::Silent || !self.platform_reachable(node);
+        let failed = match call {
+            PlatformCall::Hosts => PlatformEvent::HostsFailed,
+            _ => PlatformEvent::ChangesFailed,
+        };
+        if silent {
+            let input = Input::Platform(failed);
+            return self.push(CALL_TIMEOUT, Event::Input(node, generation, input));
+        }
+        if self.outage == Outage::Fails {
+            return self.answer(node, generation, failed);
+        }
+        match call {
+            &PlatformCall::Watch { after } if after.0 >= self.history.len() as u64 => {
+                self.watches.push(Watch {
+                    node,
+                    generation,
+                    after,
+                    until: self.now + Duration::from_secs(20) + CALL_TIMEOUT,
+                });
+            }
+            &PlatformCall::List { after } | &PlatformCall::Watch { after } => {
+                let event = self.changes(after);
+                self.answer(node, generation, event);
+            }
+            PlatformCall::Hosts => {
+                let hosts = (0..HOSTS)
+                    .map(|node| ListedHost {
+                        name: name(node),
+                        zone: zone(node),
+                        peer: address(node, 1),
+                        gossip: address(node, 2),
+                        leaving: false,
+                    })
+                    .collect();
+                let leaving_upstreams = Vec::new();
+                let event = PlatformEvent::Hosts {
+                    hosts,
+                    leaving_upstreams,
+                };
+                self.answer(node, generation, event);
+            }
+        }
+    }
+
+    fn connected(&self, a: usize, b: usize) -> bool {
+        !(self.cut && a % 2 != b % 2)
+    }
+
+    fn act(&mut self, node: usize, actions: Vec<Action>) {
+        let generation = self.nodes[node].generation;
+        for action in actions {
+            match action {
+                Action::SendDatagram { to, buf } => {
+                    let to = node_of(to);
+                    let lost = self.rng.f64() < self.loss;
+                    if !lost && self.connected(node, to) {
+                        let from = address(node, 2);
+                        let delay = LATENCY.mul_f64(1.0 + 10.0 * self.rng.f64());
+                        let input = Input::Datagram { from, buf };
+                        self.push(delay, Event::Input(to, self.nodes[to].generation, input));
+                    }
+                }
+                Action::SendPeer { to, addr, msg } => {
+                    let target = node_of(addr);
+                    let up = self.nodes[target].host.is_some();
+                    let lost = self.deaf || self.rng.f64() < self.loss;
+                    if up && !lost && self.connected(node, target) {
+                        let from = name(node);
+                        let input = Input::Peer { from, msg };
+                        let target_generation = self.nodes[target].generation;
+                        self.push(LATENCY, Event::Input(target, target_generation, input));
+                    } else if !self.deaf {
+                        let unsent = if up { Vec::new() } else { vec![msg] };
+                        let input = Input::PeerDown { peer: to, unsent };
+                        let delay = if up { Duration::from_secs(1) } else { LATENCY };
+                        self.push(delay, Event::Input(node, generation, input));
+                    }
+                }
+                Action::Platform(call) => {
+                    self.push(LATENCY, Event::Platform(node, generation, call));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn handle(&mut self, node: usize, input: Input) {
+        let Some(mut host) = self.nodes[node].host.take() else {
+            return;
+        };
+        if let Input::Platform(PlatformEvent::Changes { .. }) = &input {
+            self.nodes[node].from_platform = true;
+        }
+        let mut out = Vec::new();
+        host.handle(self.now, input, &mut out);
+        self.nodes[node].host = Some(host);
+        self.check(node);
+        self.act(node, out);
+    }
+
+    /// Runs the world for a time.
+    pub(crate) fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        let mut turns = 0;
+        loop {
+            let wake = (0..HOSTS)
+                .filter(|&node| !self.nodes[node].paused)
+                .filter_map(|node| Some((self.nodes[node].host.as_ref()?.next_wake(), node)))
+                .min();
+            let event = self.events.first_key_value().map(|(key, _)| *key);
+            let next = wake
+                .map(|wake| wake.0)
+                .into_iter()
+                .chain(event.map(|e| e.0));
+            let at = next.min().unwrap_or(end).max(self.now);
+            if at > end {
+                self.now = end;
+                return;
+            }
+            turns = if at == self.now { turns + 1 } else { 0 };
+            let seed = self.seed;
+            assert!(
+                turns < TURNS,
+                "seed={seed} time stands still: {wake:?} {event:?}"
+            );
+            self.now = at;
+            self.expire_watches();
+            if let Some(key) = event.filter(|key| key.0 <= at) {
+                let event = self.events.remove(&key);
+                event.into_iter().for_each(|event| self.take(event));
+            } else if let Some((_, node)) = wake
+                && let Some(mut host) = self.nodes[node].host.take()
+            {
+                let mut out = Vec::new();
+                host.on_wake(self.now, &mut out);
+                self.nodes[node].host = Some(host);
+                self.check(node);
+                self.act(node, out);
+            }
+        }
+    }
+
+    fn expire_watches(&mut self) {
+        let now = self.now;
+        for watch in std::mem::take(&mut self.watches) {
+            if watch.until <= now {
+                self.answer(watch.node, watch.generation, PlatformEvent::ChangesFailed);
+            } else {
+                self.watches.push(watch);
+            }
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Input(node, generation, input) => {
+                let target = &mut self.nodes[node];
+                if target.generation != generation {
+                } else if target.paused {
+                    target.held.push(input);
+                } else {
+                    self.handle(node, input);
+                }
+            }
+            Event::Platform(node, generation, call) => self.call(node, generation, &call),
+            Event::Probe => {
+                for node in 0..HOSTS {
+                    self.probe(node);
+                }
+                self.push(PROBE_PERIOD, Event::Probe);
+            }
+        }
+    }
+}
