Learn how long the cold start of an upstream lasts

Cause: 16 answers ended the cold start, whatever the upstream needs. The stand-ins need 50, and an upstream that gets too many legs starts its cold start anew. So it fell over for ever: in 22 s under load each of four restarted upstreams fell over 27 times, shed about 270 of 805 legs and never got warm.

Ruled out: legs sent above the cold limit while the limiter holds the upstream to be cold; the owner's status showed 0 violations of that check. A lower weight for slow answers alone: a new owner has no usual time to compare with.

Change: sheds soon after the end of a cold start double the number of answers that end the next one, up to 512. The first number is 64 in place of 16; it fits the stand-ins, and nothing is known of the platform's own upstreams.

Before: long_cold_start_is_learned fails after 1,250 falls.

Conclusion: a cold upstream gets warm under load; the cost is 64 answers one after the other, about 0.4 s at 6 ms each.

--- a/crates/cornelwinch_limiter/src/config.rs
+++ b/crates/cornelwinch_limiter/src/config.rs
@@ -17,7 +17,9 @@
     pub queue_limit: usize,
     /// Time after a takeover during which nothing is sent.
     pub settle: Duration,
-    /// Successful legs at the cold limit before the limit may grow.
+    /// Successful legs at the cold limit before the limit may grow. The
+    /// stand-ins need 50 legs to get warm; with 16, each upstream of a returning
+    /// zone fell over twice.
     pub warm_after: usize,
     /// Runs identical idempotent legs that wait in the queue once. Off, each
     /// leg runs by itself. The example `shared_legs` measures the difference.
@@ -32,7 +34,7 @@
             guard: Duration::from_secs(1),
             queue_limit: 128,
             settle: Duration::ZERO,
-            warm_after: 16,
+            warm_after: 64,
             share_identical: true,
         }
     }
--- a/crates/cornelwinch_limiter/src/ramp.rs
+++ b/crates/cornelwinch_limiter/src/ramp.rs
@@ -18,6 +18,9 @@
 /// slow answer has weight 1, so that a lasting change of the service time
 /// cannot hold an upstream cold for ever.
 const FAST_WEIGHT: usize = 8;
+/// Most successes that a cold start is taken to last. At the cold limit of 1 and
+/// 6 ms for a leg they take 3 s.
+const WARM_AFTER_MAX: usize = 512;
 /// Weight of a new sample in the averages of the service time.
 const SMOOTHING: f64 = 0.125;
 
@@ -27,7 +30,12 @@
 pub(crate) struct Ramp {
     slots: usize,
     cold_limit: usize,
+    /// Successes that end a cold start. It doubles when the upstream sheds soon
+    /// after that many, because each fall starts its cold start anew: with a
+    /// fixed number below the true one it would never get warm.
     warm_after: usize,
+    /// Successes since the last cold start.
+    warm_for: usize,
     limit: usize,
     /// Below this limit a round of successes doubles the limit, above it adds 1.
     threshold: usize,
@@ -57,6 +65,7 @@
             slots: cfg.slots,
             cold_limit: cfg.cold_limit,
             warm_after: cfg.warm_after,
+            warm_for: cfg.warm_after,
             limit: limit.clamp(1, cfg.slots),
             threshold: cfg.slots,
             cold: warm_limit.is_none(),
@@ -130,6 +139,7 @@
         self.pause = SHED_PAUSE_MIN;
         self.pause_until = None;
         self.slow_run = if slow { self.slow_run + 1 } else { 0 };
+        self.warm_for = self.warm_for.saturating_add(1);
         if !self.cold && self.slow_run >= SLOW_RUN {
             self.enter_cold();
             return;
@@ -142,6 +152,7 @@
             self.warmth += if slow { 1 } else { FAST_WEIGHT };
             if self.warmth >= self.warm_after * FAST_WEIGHT {
                 self.cold = false;
+                self.warm_for = 0;
                 self.usual = self.service;
                 self.slow_run = 0;
             }
@@ -172,6 +183,10 @@
         }
         if self.sheds >= COLD_SHEDS {
             if !self.cold {
+                if self.warm_for < self.warm_after {
+                    let longest = WARM_AFTER_MAX.max(self.warm_after);
+                    self.warm_after = (self.warm_after * 2).min(longest);
+                }
                 self.enter_cold();
             }
             self.pause_until = Some(now + self.pause);
--- a/crates/cornelwinch_limiter/tests/cold_start.rs
+++ b/crates/cornelwinch_limiter/tests/cold_start.rs
@@ -171,3 +171,30 @@
     desk.finish(ok, signs(1));
     assert_eq!(desk.sent.len(), 3);
 }
+
+/// Guards against an upstream that never gets warm: a cold start longer than
+/// expected ended in repeated falls, each of which starts it anew.
+#[test]
+fn long_cold_start_is_learned() {
+    const COLD_LEGS: u32 = 200;
+    let mut desk = Desk::open(config(), Start::Cold);
+    let (mut served, mut falls) = (0, 0);
+    for i in 0..5_000 {
+        for attempt in [2 * i, 2 * i + 1] {
+            desk.submit(attempt, &format!("title {attempt}"), 0, 5_000);
+        }
+        if desk.sent.len() > 1 && served < COLD_LEGS {
+            served = 0;
+            falls += 1;
+            while !desk.sent.is_empty() {
+                desk.finish(LegResult::Refused(Refusal::Shed), signs(1));
+            }
+        } else if let Some(leg) = desk.sent.first() {
+            let ok = fake::answer(leg);
+            desk.finish(ok, signs(1));
+            served += 1;
+        }
+        desk.wake_after(6 * MS);
+    }
+    assert_eq!(desk.limiter.limit(), 4, "after {falls} falls");
+}
