Test configuration faults and leaving zones against processes

Cause: nothing tested the configuration path and the leaving of zones and upstreams against running hosts.

Change: config_faults lets two operators race, loses the answers of writes and restarts hosts in two kinds of platform outage. zone_leave takes a zone out under load, restarts its upstreams and returns it, drains an upstream and marks one in the platform's list, which lags 10 s; there the time starts when the list shows the mark, because nothing tells of it before. Times are the upstreams' own counters. The lab gets a load of closed-loop callers, a query and waits for events.

Ruled out: a timed assert on the start of hosts; the waits only end a hang.

--- a/crates/cornelwinch_lab/src/deployment.rs
+++ b/crates/cornelwinch_lab/src/deployment.rs
@@ -15,11 +15,12 @@
 };
 use cornelwinch_standins::upstream::{self, HeldSnapshot, Upstream, UpstreamConfig};
 use cornelwinch_types::{KeyRange, Name, Shard, Snapshot, SnapshotId};
-use serde_json::json;
+use serde_json::{Value, json};
 use snafu::ResultExt;
 
 use crate::error::{EncodeSnafu, WriteSnafu};
 use crate::host::HostAddrs;
+use crate::load::wait_until;
 use crate::ports::free_addrs;
 use crate::{DeploymentShape, HostProcess, HostProgram, LabError, SearchShape};
 
@@ -165,6 +166,55 @@
         self.put(zone, &EntryValue::Zone(Some(ZoneSpec { region, state })))
     }
 
+    /// Waits until all running hosts have a configuration revision in force.
+    pub fn wait_revision(&self, revision: u64, limit: Duration) -> bool {
+        wait_until(limit, || {
+            self.hosts
+                .iter()
+                .filter(|host| host.pid().is_some())
+                .all(|host| {
+                    let status = host.status();
+                    status.is_some_and(|status| status["revision"].as_u64() >= Some(revision))
+                })
+        })
+    }
+
+    /// Upstreams whose shard replica is in a zone.
+    pub fn upstreams_in(&self, zone: &str) -> Vec<&Upstream> {
+        self.upstreams
+            .iter()
+            .filter(|upstream| {
+                let value = self.platform.value("upstream", upstream.name());
+                value.is_some_and(|value| value["spec"]["zone"] == zone)
+            })
+            .collect()
+    }
+
+    /// Sets an upstream's row in the platform's host list.
+    pub fn list_upstream(&self, name: &str, zone: &str, state: HostState) {
+        let host = HostRow {
+            name: name.into(),
+            zone: zone.into(),
+            role: HostRole::Upstream,
+            peer: None,
+            gossip: None,
+            state,
+        };
+        self.platform.apply(PlatformFault::SetHost { host });
+    }
+
+    /// Reports whether callers of the platform see a row marked as leaving.
+    pub fn is_listed_leaving(&self, name: &str) -> bool {
+        let url = format!("http://{}/v1/hosts", self.platform.address());
+        let list = ureq::get(url).call().ok();
+        let list = list.and_then(|mut resp| resp.body_mut().read_json::<Value>().ok());
+        let rows = list.as_ref().and_then(|list| list["hosts"].as_array());
+        rows.is_some_and(|rows| {
+            rows.iter()
+                .any(|row| row["name"] == name && row["state"] == "leaving")
+        })
+    }
+
     fn configure(&mut self) -> Result<(), LabError> {
         for zone in self.shape.zones.clone() {
             self.set_zone(&zone, ServiceState::In)?;
@@ -258,15 +308,7 @@
             cold_limit: search.cold.limit,
             state: ServiceState::In,
         };
-        let row = HostRow {
-            name: name.clone(),
-            zone: spec.zone.clone(),
-            role: HostRole::Upstream,
-            peer: None,
-            gossip: None,
-            state: HostState::Live,
-        };
-        self.platform.apply(PlatformFault::SetHost { host: row });
+        self.list_upstream(&name, &spec.zone, HostState::Live);
         self.put(&name, &EntryValue::Upstream(Some(spec)))?;
         self.upstreams.push(upstream);
         Ok(name)
