Clear the retry time of a leg that waits for another attempt

Cause: a leg whose retry was due, but that had to wait for the only attempt of a suspect request, kept its retry time. The next wake stayed in the past, so that the host turned without end until the attempt ended.

Ruled out: the time of the partial answer, which is cleared when it is due.

Change: the retry time goes when the leg starts to wait; the look at waiting legs every 2 ms remains.

Conclusion: a suspect request costs one turn every 2 ms.

--- a/crates/cornelwinch_gather/src/dispatch.rs
+++ b/crates/cornelwinch_gather/src/dispatch.rs
@@ -92,6 +92,8 @@
             .quarantine
             .admit(now, self.spec.fingerprint, range, false);
         if admit == Admit::Wait {
+            // A retry time that has passed would keep the next wake in the past.
+            leg.retry_at = None;
             self.held_until = Some(now + HELD_POLL);
         }
         if admit != Admit::Run {
