Spread quarantine and leaving marks in bounded fan-out

Cause: the host that made a quarantine mark sent it to every host itself, 7,895 messages at the design scale, and a watcher sent the list of leaving upstreams to 375 hosts. A list in another order than by name was sent again with every read.

Gossip in datagrams: their room is for members.

Change: two hosts of each zone pass a mark on inside their zone, each with a tree of fan-out 8 that starts at its own name. In the zone of the first sender it is one of the two. Watchers repeat the list of leaving upstreams every 10 s, because a lost message or one passed on late would leave a host with an old list. The relay of the configuration uses the same division.

Cost of one quarantine mark with 376 hosts in each of 21 zones, computed: 15,790 messages, 2.0 for each host to receive, 3 at most, and 2.0 to send on average; 49 at most, by the first sender (before: 1 to receive; 7,895 to send by the first sender). A list of leaving upstreams: 750 messages in the zone, 2.0 for each host, for each of 2 watchers every 10 s, 0.4 messages/s.

Conclusion: no host sends more than 49 messages for a mark.

--- a/crates/cornelwinch_host/src/configuration.rs
+++ b/crates/cornelwinch_host/src/configuration.rs
@@ -18,6 +18,11 @@
 /// Time between reads of the platform's host list by a watcher.
 const HOSTS_PERIOD: Duration = Duration::from_secs(2);
 
+/// Time after which a watcher repeats the list of leaving upstreams. A message
+/// may be lost, or be passed on late by a host that was paused, and then a host
+/// would keep an old list until the next change.
+const LEAVING_REPEAT: Duration = Duration::from_secs(10);
+
 impl Host {
     /// Live members of this host's zone by name, this host included.
     pub(crate) fn zone_members(&self) -> Vec<Name> {
@@ -94,13 +99,14 @@
             }
             PlatformEvent::Hosts {
                 hosts,
-                leaving_upstreams,
+                mut leaving_upstreams,
             } => {
+                leaving_upstreams.sort_unstable();
                 self.next_hosts = Some(now + HOSTS_PERIOD);
                 let mut actions = Vec::new();
                 self.membership.on_list(now, &hosts, &mut actions);
                 self.on_membership(now, actions, out);
-                self.pass_on_leaving(&leaving_upstreams);
+                self.pass_on_leaving(now, &leaving_upstreams);
                 self.on_upstreams_leaving(now, leaving_upstreams, out);
             }
             PlatformEvent::HostsFailed => self.next_hosts = Some(now + HOSTS_PERIOD),
@@ -108,18 +114,18 @@
         self.call_platform(now, out);
     }
 
-    /// Tells the other hosts of the zone when the list of leaving upstreams
-    /// has changed.
-    fn pass_on_leaving(&mut self, leaving: &[Name]) {
-        if self.leaving_upstreams == leaving {
+    /// Tells the other hosts of the zone when the list of leaving upstreams,
+    /// sorted by name, has changed, and from time to time without a change.
+    fn pass_on_leaving(&mut self, now: Instant, leaving: &[Name]) {
+        let changed = self.leaving_upstreams != leaving;
+        if !(changed || now >= self.next_leaving) || !self.is_watcher() {
             return;
         }
-        let msg = PeerMessage::UpstreamsLeaving(leaving.to_vec());
-        for name in self.zone_members() {
-            if name != self.cfg.me.name {
-                self.router.push(&name, msg.clone());
-            }
-        }
+        self.next_leaving = now + LEAVING_REPEAT;
+        self.spread_in_zone(|relay| PeerMessage::UpstreamsLeaving {
+            upstreams: leaving.to_vec(),
+            relay,
+        });
     }
 
     pub(crate) fn on_upstreams_leaving(
--- a/crates/cornelwinch_host/src/host.rs
+++ b/crates/cornelwinch_host/src/host.rs
@@ -74,6 +74,8 @@
     pub(crate) watching: bool,
     pub(crate) next_watch: Option<Instant>,
     pub(crate) next_hosts: Option<Instant>,
+    /// Time from which the list of leaving upstreams is sent without a change.
+    pub(crate) next_leaving: Instant,
     pub(crate) draining: Option<Draining>,
     last_turn: Instant,
     /// The other hosts know this one, so that it has a share of each rate.
@@ -123,6 +125,7 @@
             watching: false,
             next_watch: Some(now),
             next_hosts: Some(now),
+            next_leaving: now,
             draining: None,
             last_turn: now,
             has_shares: false,
@@ -428,7 +431,13 @@
                     .on_released(now, &upstream, finished, &mut owner_out);
                 self.on_owner_output(now, owner_out, out);
             }
-            PeerMessage::UpstreamsLeaving(names) => self.on_upstreams_leaving(now, names, out),
+            PeerMessage::UpstreamsLeaving { upstreams, relay } => {
+                self.pass_on(&relay, from, |relay| PeerMessage::UpstreamsLeaving {
+                    upstreams: upstreams.clone(),
+                    relay,
+                });
+                self.on_upstreams_leaving(now, upstreams, out);
+            }
             PeerMessage::PullConfig { after } => {
                 let msg = self.sync.on_pull(after);
                 self.router.push(from, msg);
@@ -443,7 +452,11 @@
                 self.admission.on_message(now, from, &msg, &mut actions);
                 self.on_admission(actions);
             }
-            PeerMessage::Quarantine(marks) => {
+            PeerMessage::Quarantine { marks, relay } => {
+                self.pass_on(&relay, from, |relay| PeerMessage::Quarantine {
+                    marks: marks.clone(),
+                    relay,
+                });
                 for mark in marks {
                     self.stats
                         .quarantine_mut()
@@ -563,16 +576,9 @@
             return;
         }
         log::warn!("event=request_quarantined count={}", marks.len());
-        let others: Vec<Name> = self
-            .membership
-            .members()
-            .iter()
-            .filter(|member| member.can_own() && member.name != self.cfg.me.name)
-            .map(|member| member.name.clone())
-            .collect();
-        for name in others {
-            self.router
-                .push(&name, PeerMessage::Quarantine(marks.clone()));
-        }
+        self.spread_everywhere(|relay| PeerMessage::Quarantine {
+            marks: marks.clone(),
+            relay,
+        });
     }
 }
--- a/crates/cornelwinch_host/src/lib.rs
+++ b/crates/cornelwinch_host/src/lib.rs
@@ -14,6 +14,7 @@
 mod request;
 mod router;
 mod shutdown;
+mod spread;
 mod status;
 mod sync;
 mod ticketing;
@@ -22,8 +23,8 @@
 pub use host::{Host, HostConfig, Routing};
 pub use input::{Input, PlatformEvent};
 pub use message::{
-    ConfigUpdate, LegBatch, LegDone, LegItem, LegRef, PeerMessage, QuarantineMark, RelaySpan,
-    RunTicket,
+    ConfigUpdate, LegBatch, LegDone, LegItem, LegRef, PeerMessage, QuarantineMark, Relay,
+    RelaySpan, RunTicket,
 };
 pub use owners::OwnedStatus;
 pub use request::{CallerAnswer, CallerRequest, QueryRequest, Rejection, TicketRequest};
--- a/crates/cornelwinch_host/src/message.rs
+++ b/crates/cornelwinch_host/src/message.rs
@@ -33,7 +33,12 @@
         finished: u32,
     },
     /// Upstreams that the platform marks as leaving; replaces the last list.
-    UpstreamsLeaving(Vec<Name>),
+    UpstreamsLeaving {
+        /// The upstreams by name.
+        upstreams: Vec<Name>,
+        /// Members to which the receiver passes the list on.
+        relay: Relay,
+    },
     /// Asks for the configuration entries after a revision.
     PullConfig {
         /// Highest revision that the asking host holds.
@@ -53,7 +58,12 @@
     /// Shares of customers' rates.
     Admission(AdmissionMsg),
     /// Requests that crash upstreams.
-    Quarantine(Vec<QuarantineMark>),
+    Quarantine {
+        /// The requests.
+        marks: Vec<QuarantineMark>,
+        /// Members to which the receiver passes the marks on.
+        relay: Relay,
+    },
 }
 
 /// Legs of one query for upstreams of one owner; the common fields are sent once.
@@ -190,7 +200,19 @@
     pub relay: Option<RelaySpan>,
 }
 
-/// Members of a zone by name, from `first` to `last`, both included.
+/// Members to which the receiver of a message passes it on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Relay {
+    /// None.
+    None,
+    /// Those of a span.
+    Span(RelaySpan),
+    /// All of the receiver's zone.
+    Zone,
+}
+
+/// Members of a zone by name, from `first` to `last`, both included. The span
+/// goes on from the lowest name if `last` comes before `first`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelaySpan {
     /// First name.
--- a/crates/cornelwinch_host/src/sync.rs
+++ b/crates/cornelwinch_host/src/sync.rs
@@ -3,11 +3,8 @@
 use cornelwinch_config::{ConfigState, Entry};
 use cornelwinch_types::{Name, Revision};
 
-use crate::{ConfigUpdate, PeerMessage, RelaySpan};
-
-/// Members that each member passes an update on to. With 8, an update reaches
-/// 376 members of a zone in 3 steps, and each of them receives it once.
-const RELAY_FANOUT: usize = 8;
+use crate::spread::{divide, members_of};
+use crate::{ConfigUpdate, PeerMessage};
 
 /// Time after which a pull without an answer may be sent to another peer.
 const PULL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -170,11 +167,7 @@
         if let Some(span) = update.relay
             && complete
         {
-            let members: Vec<Name> = zone
-                .iter()
-                .filter(|name| **name >= span.first && **name <= span.last && *name != me)
-                .cloned()
-                .collect();
+            let members = members_of(&span, zone, me);
             let relayed = self.relay(update.after, me, &members);
             applied.messages.extend(relayed);
         }
@@ -186,22 +179,16 @@
     /// applied, but the receivers need it as well.
     fn relay(&self, after: Revision, me: &Name, members: &[Name]) -> Vec<(Name, PeerMessage)> {
         let entries = self.state.entries_after(after);
-        let others: Vec<&Name> = members.iter().filter(|name| *name != me).collect();
-        let size = others.len().div_ceil(RELAY_FANOUT).max(1);
-        others
-            .chunks(size)
-            .map(|span| {
-                let relay = (span.len() > 1).then(|| RelaySpan {
-                    first: span[1].clone(),
-                    last: span[span.len() - 1].clone(),
-                });
+        let others: Vec<Name> = members.iter().filter(|name| *name != me).cloned().collect();
+        divide(&others)
+            .map(|(to, relay)| {
                 let update = ConfigUpdate {
                     after,
                     through: self.state.revision(),
                     entries: entries.clone(),
                     relay,
                 };
-                (span[0].clone(), PeerMessage::Config(update))
+                (to, PeerMessage::Config(update))
             })
             .collect()
     }
--- a/crates/cornelwinch_host/tests/fake/checks.rs
+++ b/crates/cornelwinch_host/tests/fake/checks.rs
@@ -6,13 +6,29 @@
 };
 use cornelwinch_types::{Name, Revision};
 
-use super::{HOSTS, World, name};
+use super::{World, name};
 
 /// Time for which a peer must have been reachable, and have held a revision,
 /// before a starting host is expected to know of it.
 const KNOWN_AFTER: Duration = Duration::from_secs(3);
 
+fn request(search: &str, token: &str) -> Input {
+    let request = CallerRequest::Query(QueryRequest {
+        token: token.into(),
+        search: search.into(),
+        class: None,
+        deadline: None,
+        body: "x".into(),
+    });
+    Input::Caller { caller: 1, request }
+}
+
 impl World {
+    /// Sends a query to a host.
+    pub(crate) fn query(&mut self, node: usize, search: &str, token: &str) {
+        self.handle(node, request(search, token));
+    }
+
     /// Sends a request to a host; reports whether it was looked at.
     pub(crate) fn serves(&mut self, node: usize) -> bool {
         if self.nodes[node].paused {
@@ -21,15 +37,8 @@
         let Some(host) = self.nodes[node].host.as_mut() else {
             return false;
         };
-        let request = CallerRequest::Query(QueryRequest {
-            token: "none".into(),
-            search: "none".into(),
-            class: None,
-            deadline: None,
-            body: "x".into(),
-        });
         let mut out = Vec::new();
-        host.handle(self.now, Input::Caller { caller: 1, request }, &mut out);
+        host.handle(self.now, request("none", "none"), &mut out);
         let refused = out.iter().any(|action| {
             let Action::Reply { answer, .. } = action else {
                 return false;
@@ -56,7 +65,7 @@
         if self.nodes[node].from_platform {
             return;
         }
-        for peer in 0..HOSTS {
+        for peer in 0..self.nodes.len() {
             let held = &self.nodes[peer];
             let linked =
                 peer % 2 == node % 2 || (!self.cut && self.cut_changed + KNOWN_AFTER <= now);
@@ -120,7 +129,7 @@
 
     /// Names of the other hosts in the zone of a host.
     pub(crate) fn zone_names(&self, node: usize) -> Vec<Name> {
-        (0..HOSTS)
+        (0..self.nodes.len())
             .filter(|other| other % 2 == node % 2 && *other != node)
             .map(name)
             .collect()
@@ -128,7 +137,7 @@
 
     /// Gives a host an update from a peer of its zone.
     pub(crate) fn deliver_update(&mut self, node: usize, update: ConfigUpdate) {
-        let from = name((node + 2) % HOSTS);
+        let from = name((node + 2) % self.nodes.len());
         let msg = PeerMessage::Config(update);
         self.handle(node, Input::Peer { from, msg });
     }
--- a/crates/cornelwinch_host/tests/fake/mod.rs
+++ b/crates/cornelwinch_host/tests/fake/mod.rs
@@ -1,6 +1,8 @@
 //! Hosts on virtual time with a network and a platform in memory, as far as the
 //! spread of the configuration needs them.
 
+#![allow(dead_code, reason = "each test uses a part of the module")]
+
 mod checks;
 
 use std::collections::BTreeMap;
@@ -8,9 +10,13 @@
 use std::time::{Duration, Instant};
 
 use cornelwinch_config::{Entry, EntryValue, Kind, ServiceState, ZoneSpec};
-use cornelwinch_host::{Action, Host, HostConfig, Input, PlatformCall, PlatformEvent, Routing};
+use cornelwinch_host::{
+    Action, Host, HostConfig, Input, PeerMessage, PlatformCall, PlatformEvent, Routing,
+};
 use cornelwinch_membership::{DatagramKey, ListedHost, MembershipConfig};
-use cornelwinch_types::{Incarnation, Member, MemberState, Name, Revision};
+use cornelwinch_types::{
+    Incarnation, LegFailure, LegResult, Member, MemberState, Name, Revision, UpstreamSigns,
+};
 
 const HOSTS: usize = 12;
 const LATENCY: Duration = Duration::from_millis(1);
@@ -57,6 +63,14 @@
     pub(crate) rng: fastrand::Rng,
     pub(crate) nodes: Vec<Node>,
     pub(crate) loss: f64,
+    /// Upstreams that the platform lists as leaving.
+    pub(crate) leaving: Vec<Name>,
+    /// Legs sent to upstreams; each crashes its upstream.
+    pub(crate) legs: usize,
+    /// Messages counted in the two fields that follow, for each host.
+    pub(crate) counted: fn(&PeerMessage) -> bool,
+    pub(crate) marks_sent: Vec<usize>,
+    pub(crate) marks_received: Vec<usize>,
     /// Every write: revision is the position plus 1.
     pub(crate) history: Vec<Entry>,
     seed: u64,
@@ -93,6 +107,10 @@
 
 impl World {
     pub(crate) fn new(seed: u64) -> Self {
+        Self::with_hosts(seed, HOSTS)
+    }
+
+    pub(crate) fn with_hosts(seed: u64, hosts: usize) -> Self {
         let now = Instant::now();
         let node = || Node {
             host: None,
@@ -107,8 +125,13 @@
         };
         let mut world = Self {
             rng: fastrand::Rng::with_seed(seed),
-            nodes: (0..HOSTS).map(|_| node()).collect(),
+            nodes: (0..hosts).map(|_| node()).collect(),
             loss: 0.0,
+            leaving: Vec::new(),
+            legs: 0,
+            counted: |_| false,
+            marks_sent: vec![0; hosts],
+            marks_received: vec![0; hosts],
             history: Vec::new(),
             seed,
             now,
@@ -122,7 +145,7 @@
             watches: Vec::new(),
         };
         world.push(Duration::ZERO, Event::Probe);
-        (0..HOSTS).for_each(|node| world.start(node));
+        (0..hosts).for_each(|node| world.start(node));
         world
     }
 
@@ -224,7 +247,7 @@
         self.set_outage(Outage::None);
         self.set_cut(false);
         self.loss = 0.0;
-        for node in 0..HOSTS {
+        for node in 0..self.nodes.len() {
             self.start(node);
             self.resume(node);
         }
@@ -248,27 +271,32 @@
     /// Changes entries without telling any watch.
     pub(crate) fn write_unseen(&mut self, count: usize) -> Vec<Entry> {
         for _ in 0..count {
-            let revision = Revision(self.history.len() as u64 + 1);
             let spec = ZoneSpec {
                 region: "test".into(),
                 state: ServiceState::In,
             };
             let value = (self.rng.u32(..5) > 0).then_some(spec);
-            self.history.push(Entry {
-                name: format!("z{}", self.rng.u32(..6)).into(),
-                revision,
-                change: format!("c{revision}").into(),
-                value: EntryValue::Zone(value),
-            });
+            let name = format!("z{}", self.rng.u32(..6));
+            self.put(&name, EntryValue::Zone(value));
         }
         self.history[self.history.len() - count..].to_vec()
     }
 
+    pub(crate) fn put(&mut self, name: &str, value: EntryValue) {
+        let revision = Revision(self.history.len() as u64 + 1);
+        self.history.push(Entry {
+            name: name.into(),
+            revision,
+            change: format!("c{revision}").into(),
+            value,
+        });
+    }
+
     /// The latest change of each entry after a revision.
     fn changes(&self, after: Revision) -> PlatformEvent {
-        let mut latest: BTreeMap<Name, Entry> = BTreeMap::new();
+        let mut latest: BTreeMap<(Kind, Name), Entry> = BTreeMap::new();
         for entry in &self.history {
-            latest.insert(entry.name.clone(), entry.clone());
+            latest.insert((entry.kind(), entry.name.clone()), entry.clone());
         }
         let mut entries: Vec<Entry> = latest.into_values().collect();
         entries.retain(|entry| entry.revision > after);
@@ -317,7 +345,7 @@
                 self.answer(node, generation, event);
             }
             PlatformCall::Hosts => {
-                let hosts = (0..HOSTS)
+                let hosts = (0..self.nodes.len())
                     .map(|node| ListedHost {
                         name: name(node),
                         zone: zone(node),
@@ -326,7 +354,7 @@
                         leaving: false,
                     })
                     .collect();
-                let leaving_upstreams = Vec::new();
+                let leaving_upstreams = self.leaving.clone();
                 let event = PlatformEvent::Hosts {
                     hosts,
                     leaving_upstreams,
@@ -356,6 +384,10 @@
                 }
                 Action::SendPeer { to, addr, msg } => {
                     let target = node_of(addr);
+                    if (self.counted)(&msg) {
+                        self.marks_sent[node] += 1;
+                        self.marks_received[target] += 1;
+                    }
                     let up = self.nodes[target].host.is_some();
                     let lost = self.deaf || self.rng.f64() < self.loss;
                     if up && !lost && self.connected(node, target) {
@@ -370,6 +402,16 @@
                         self.push(delay, Event::Input(node, generation, input));
                     }
                 }
+                Action::SendUpstream(leg) => {
+                    self.legs += 1;
+                    let input = Input::Upstream {
+                        upstream: leg.upstream,
+                        attempt: leg.attempt,
+                        result: LegResult::Failed(LegFailure::Disconnected),
+                        signs: UpstreamSigns::default(),
+                    };
+                    self.push(LATENCY, Event::Input(node, generation, input));
+                }
                 Action::Platform(call) => {
                     self.push(LATENCY, Event::Platform(node, generation, call));
                 }
@@ -397,7 +439,7 @@
         let end = self.now + time;
         let mut turns = 0;
         loop {
-            let wake = (0..HOSTS)
+            let wake = (0..self.nodes.len())
                 .filter(|&node| !self.nodes[node].paused)
                 .filter_map(|node| Some((self.nodes[node].host.as_ref()?.next_wake(), node)))
                 .min();
@@ -458,7 +500,7 @@
             }
             Event::Platform(node, generation, call) => self.call(node, generation, &call),
             Event::Probe => {
-                for node in 0..HOSTS {
+                for node in 0..self.nodes.len() {
                     self.probe(node);
                 }
                 self.push(PROBE_PERIOD, Event::Probe);
--- /dev/null
+++ b/crates/cornelwinch_host/tests/mark_spread.rs
@@ -0,0 +1,127 @@
+//! Guards against marks that reach each host from one sender, which does not
+//! fit thousands of hosts, and against hosts left out when one that passes
+//! marks on has failed.
+
+mod fake;
+
+use std::time::Duration;
+
+use cornelwinch_config::{
+    ClassPolicy, CustomerSpec, EntryValue, PlanSpec, SearchSpec, UpstreamSpec,
+};
+use cornelwinch_host::PeerMessage;
+use cornelwinch_types::{KeyRange, Name, Shard, Snapshot, SnapshotId};
+use fake::World;
+
+const HOSTS: usize = 40;
+/// Most messages that one host sends for a mark: two trees and, as the first
+/// sender, one relay in its own zone and two in the other.
+const SENT: usize = 19;
+/// Most messages that one host gets: one from each tree, one as a relay.
+const RECEIVED: usize = 3;
+
+fn started() -> World {
+    let mut world = World::with_hosts(1, HOSTS);
+    configure(&mut world);
+    world.run(Duration::from_secs(12));
+    world.check_spread();
+    world
+}
+
+/// One search with one shard on two upstreams.
+fn configure(world: &mut World) {
+    let name = || Name::from("portal");
+    for (upstream, zone) in [("u-a", "a"), ("u-b", "b")] {
+        let spec = UpstreamSpec {
+            zone: zone.into(),
+            address: ([10, 1, 0, 1], 80).into(),
+            slots: 2,
+            connections: 2,
+            cold_limit: 1,
+            state: cornelwinch_config::ServiceState::In,
+        };
+        world.put(upstream, EntryValue::Upstream(Some(spec)));
+    }
+    let policy = ClassPolicy {
+        deadline_ms: 5_000,
+        min_coverage: 1.0,
+        partial_after_ms: None,
+        priority: 0,
+        hedge_quantile: None,
+    };
+    world.put("portal", EntryValue::Class(Some(policy)));
+    let classes = vec![name()];
+    world.put("portal", EntryValue::Search(Some(SearchSpec { classes })));
+    let shard = Shard {
+        range: KeyRange { start: 0, end: 10 },
+        documents: 10,
+        replicas: vec!["u-a".into(), "u-b".into()],
+    };
+    let snapshot = Snapshot {
+        search: name(),
+        id: SnapshotId(1),
+        shards: vec![shard],
+    };
+    world.put("portal.1", EntryValue::Snapshot(Some(snapshot)));
+    let plan = PlanSpec {
+        rate_per_s: 100_000.0,
+        burst: 10_000,
+        concurrency: 10_000,
+        priority: 0,
+        searches: vec![name()],
+    };
+    world.put("portal", EntryValue::Plan(Some(plan)));
+    let customer = CustomerSpec {
+        plan: name(),
+        token_hash: blake3::hash(b"token").to_hex().as_str().into(),
+    };
+    world.put("portal", EntryValue::Customer(Some(customer)));
+}
+
+fn check_counts(world: &World, case: &str) {
+    let highest = |counts: &[usize]| counts.iter().copied().max().unwrap_or(0);
+    let (sent, received) = (highest(&world.marks_sent), highest(&world.marks_received));
+    let total: usize = world.marks_received.iter().sum();
+    println!("{case}: total={total} sent={sent} received={received}");
+    assert!(sent <= SENT, "{case}: {:?}", world.marks_sent);
+    assert!(received <= RECEIVED, "{case}: {:?}", world.marks_received);
+}
+
+/// All upstreams crash with the request, and after the second crash every host
+/// of both zones refuses it.
+#[test]
+fn quarantine_reaches_all() {
+    for paused in [None, Some(4), Some(9)] {
+        let mut world = started();
+        paused.into_iter().for_each(|node| world.pause(node));
+        world.counted = |msg| matches!(msg, PeerMessage::Quarantine { .. });
+        world.query(0, "portal", "token");
+        world.run(Duration::from_secs(1));
+        assert_eq!(world.legs, 2, "paused={paused:?}");
+        check_counts(&world, "quarantine");
+        for node in (0..HOSTS).filter(|node| Some(*node) != paused) {
+            world.query(node, "portal", "token");
+        }
+        world.run(Duration::from_secs(1));
+        assert_eq!(world.legs, 2, "paused={paused:?}");
+    }
+}
+
+/// A watcher passes the platform's list on inside its zone.
+#[test]
+fn leaving_reaches_zone() {
+    for paused in [None, Some(4), Some(9)] {
+        let mut world = started();
+        paused.into_iter().for_each(|node| world.pause(node));
+        world.counted = |msg| matches!(msg, PeerMessage::UpstreamsLeaving { .. });
+        world.leaving = vec!["u-a".into()];
+        world.run(Duration::from_millis(2_200));
+        let reached = world.marks_received.iter().filter(|count| **count > 0);
+        // The first watcher of a zone to read the list gets no message itself.
+        let senders = 2 + usize::from(paused.is_some());
+        assert!(reached.count() >= HOSTS - senders, "paused={paused:?}");
+        // Both watchers of a zone may spread the list.
+        let sent = world.marks_sent.iter().max();
+        assert!(sent <= Some(&(2 * SENT)), "{:?}", world.marks_sent);
+    }
+}
