--- a/crates/cornelwinch_daemon/src/platform.rs
+++ b/crates/cornelwinch_daemon/src/platform.rs
@@ -18,9 +18,6 @@
 use crate::error::ThreadSnafu;
 use crate::{DaemonError, claims};
 
-/// Time that a watch waits at the platform.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
-
 /// Time limits of a call. The host repeats failed calls itself, so an operation
 /// is one attempt.
 const TIMEOUTS: Timeouts = Timeouts {
@@ -40,6 +37,13 @@
 /// Buckets of claims read or written at once by one host.
 const CLAIM_WORKERS: usize = 4;
 
+/// As [`TIMEOUTS`], for a watch: its answer is due when its wait ends, and the
+/// host hears of no change until it fails.
+const WATCH_TIMEOUTS: Timeouts = Timeouts {
+    call: Duration::from_secs(1),
+    ..TIMEOUTS
+};
+
 type Handler = Arc<dyn Fn(PlatformEvent) + Send + Sync>;
 
 /// Running adapter to the platform: a thread for lists and watches, one for the
@@ -116,8 +120,9 @@
             .name(name.into())
             .spawn(move || {
                 let client = PlatformClient::open(addr, timeouts);
+                let watcher = PlatformClient::open(addr, WATCH_TIMEOUTS);
                 for call in rx {
-                    let event = calls.run(&client, call);
+                    let event = calls.run(&client, &watcher, call);
                     (calls.handler)(event);
                 }
             })
@@ -125,11 +130,17 @@
         Ok(())
     }
 
-    fn run(&self, client: &PlatformClient, call: PlatformCall) -> PlatformEvent {
-        let kinds = Kind::ALL.map(Kind::as_str);
+    fn run(
+        &self,
+        client: &PlatformClient,
+        watcher: &PlatformClient,
+        call: PlatformCall,
+    ) -> PlatformEvent {
         match call {
-            PlatformCall::List { after } => changes(client.list(after, &kinds)),
-            PlatformCall::Watch { after } => changes(client.watch(after, WATCH_WAIT, &kinds)),
+            PlatformCall::List { after } => changes(client.list(after, &config_kinds())),
+            PlatformCall::Watch { after, wait } => {
+                changes(watcher.watch(after, wait, &config_kinds()))
+            }
             PlatformCall::Hosts => hosts(client.hosts()),
             PlatformCall::ReadClaims { bucket } => PlatformEvent::Claims {
                 bucket,
@@ -151,6 +162,10 @@
     }
 }
 
+fn config_kinds() -> [&'static str; Kind::ALL.len()] {
+    Kind::ALL.map(Kind::as_str)
+}
+
 fn changes(result: Result<Listing, PlatformError>) -> PlatformEvent {
     match result {
         Ok(listing) => {
