--- a/crates/cornelwinch_host/tests/fake/mod.rs
+++ b/crates/cornelwinch_host/tests/fake/mod.rs
@@ -5,6 +5,7 @@
 
 mod checks;
 mod platform;
+mod search;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -12,7 +13,8 @@
 
 use cornelwinch_config::{Entry, Kind};
 use cornelwinch_host::{
-    Action, Host, HostConfig, Input, PeerMessage, PlatformCall, PlatformEvent, Routing,
+    Action, CallerAnswer, Host, HostConfig, Input, PeerMessage, PlatformCall, PlatformEvent,
+    Routing,
 };
 use cornelwinch_membership::{DatagramKey, MembershipConfig};
 use cornelwinch_types::{
@@ -53,8 +55,11 @@
     pub(crate) loss: f64,
     /// Upstreams that the platform lists as leaving.
     pub(crate) leaving: Vec<Name>,
-    /// Legs sent to upstreams; each crashes its upstream.
+    /// Legs sent to upstreams; each crashes its upstream unless `answers`.
     pub(crate) legs: usize,
+    pub(crate) answers: bool,
+    /// Queries answered with full coverage.
+    pub(crate) complete: usize,
     /// Messages counted in the two fields that follow, for each host.
     pub(crate) counted: fn(&PeerMessage) -> bool,
     pub(crate) marks_sent: Vec<usize>,
@@ -117,6 +122,8 @@
             loss: 0.0,
             leaving: Vec::new(),
             legs: 0,
+            answers: false,
+            complete: 0,
             counted: |_| false,
             marks_sent: vec![0; hosts],
             marks_received: vec![0; hosts],
@@ -197,6 +204,15 @@
         self.nodes[node].paused = self.nodes[node].host.is_some();
     }
 
+    /// Host that owns an upstream.
+    pub(crate) fn owner(&self, upstream: &str) -> usize {
+        let owns = |node: &Node| {
+            let status = node.host.as_ref().map(Host::status);
+            status.is_some_and(|s| s.owned.iter().any(|owned| &*owned.upstream == upstream))
+        };
+        self.nodes.iter().position(owns).expect("an owner")
+    }
+
     pub(crate) fn resume(&mut self, node: usize) {
         if std::mem::take(&mut self.nodes[node].paused) {
             self.nodes[node].up_since = self.now;
@@ -268,10 +284,15 @@
                 }
                 Action::SendUpstream(leg) => {
                     self.legs += 1;
+                    let result = if self.answers {
+                        search::answer(&leg)
+                    } else {
+                        LegResult::Failed(LegFailure::Disconnected)
+                    };
                     let input = Input::Upstream {
                         upstream: leg.upstream,
                         attempt: leg.attempt,
-                        result: LegResult::Failed(LegFailure::Disconnected),
+                        result,
                         signs: UpstreamSigns::default(),
                     };
                     self.push(LATENCY, Event::Input(node, generation, input));
@@ -279,6 +300,10 @@
                 Action::Platform(call) => {
                     self.push(LATENCY, Event::Platform(node, generation, call));
                 }
+                Action::Reply {
+                    answer: CallerAnswer::Query(answer),
+                    ..
+                } if answer.coverage == 1.0 => self.complete += 1,
                 _ => {}
             }
         }
--- a/crates/cornelwinch_host/tests/mark_spread.rs
+++ b/crates/cornelwinch_host/tests/mark_spread.rs
@@ -6,11 +6,7 @@
 
 use std::time::Duration;
 
-use cornelwinch_config::{
-    ClassPolicy, CustomerSpec, EntryValue, PlanSpec, SearchSpec, UpstreamSpec,
-};
 use cornelwinch_host::PeerMessage;
-use cornelwinch_types::{KeyRange, Name, Shard, Snapshot, SnapshotId};
 use fake::World;
 
 const HOSTS: usize = 40;
@@ -23,62 +19,12 @@
 
 fn started() -> World {
     let mut world = World::with_hosts(1, HOSTS);
-    configure(&mut world);
+    world.configure_search();
     world.run(Duration::from_secs(12));
     world.check_spread();
     world
 }
 
-/// One search with one shard on two upstreams.
-fn configure(world: &mut World) {
-    let name = || Name::from("portal");
-    for (upstream, zone) in [("u-a", "a"), ("u-b", "b")] {
-        let spec = UpstreamSpec {
-            zone: zone.into(),
-            address: ([10, 1, 0, 1], 80).into(),
-            slots: 2,
-            connections: 2,
-            cold_limit: 1,
-            state: cornelwinch_config::ServiceState::In,
-        };
-        world.put(upstream, EntryValue::Upstream(Some(spec)));
-    }
-    let policy = ClassPolicy {
-        deadline_ms: 5_000,
-        min_coverage: 1.0,
-        partial_after_ms: None,
-        priority: 0,
-        hedge_quantile: None,
-    };
-    world.put("portal", EntryValue::Class(Some(policy)));
-    let classes = vec![name()];
-    world.put("portal", EntryValue::Search(Some(SearchSpec { classes })));
-    let shard = Shard {
-        range: KeyRange { start: 0, end: 10 },
-        documents: 10,
-        replicas: vec!["u-a".into(), "u-b".into()],
-    };
-    let snapshot = Snapshot {
-        search: name(),
-        id: SnapshotId(1),
-        shards: vec![shard],
-    };
-    world.put("portal.1", EntryValue::Snapshot(Some(snapshot)));
-    let plan = PlanSpec {
-        rate_per_s: 100_000.0,
-        burst: 10_000,
-        concurrency: 10_000,
-        priority: 0,
-        searches: vec![name()],
-    };
-    world.put("portal", EntryValue::Plan(Some(plan)));
-    let customer = CustomerSpec {
-        plan: name(),
-        token_hash: blake3::hash(b"token").to_hex().as_str().into(),
-    };
-    world.put("portal", EntryValue::Customer(Some(customer)));
-}
-
 fn check_counts(world: &World, case: &str) {
     let highest = |counts: &[usize]| counts.iter().copied().max().unwrap_or(0);
     let (sent, received) = (highest(&world.marks_sent), highest(&world.marks_received));
