--- a/crates/cornelwinch_host/src/claiming.rs
+++ b/crates/cornelwinch_host/src/claiming.rs
@@ -5,11 +5,8 @@
 };
 use cornelwinch_types::{Member, Name, SortedMap};
 
-use crate::queries::AdmittedRequest;
 use crate::running::{RunId, Waiter, Work, host_gone};
-use crate::{
-    Action, ClaimRequest, Host, PeerMessage, PlatformCall, Rejection, RequestLabel, RunClaim,
-};
+use crate::{Action, ClaimRequest, Host, PlatformCall, Rejection, RequestLabel};
 
 /// Bucket objects of a deployment. A host may hold all of them, at up to
 /// 900 kB each, within the 256 MB that a node has for control.
@@ -67,56 +64,23 @@
         out: &mut Vec<Action>,
     ) -> Result<(), (RequestLabel, Rejection)> {
         let admitted = self.admit(now, &req.query)?;
-        let AdmittedRequest {
-            label,
-            priority,
-            deadline,
-            ..
-        } = admitted;
+        let label = admitted.label.clone();
         // The length makes the pair unambiguous: names may hold any character.
         let customer = &label.customer;
         let claim = format!("{}:{customer}/{}", customer.len(), req.idempotency_key);
-        let work = Work {
-            id: RunId::Claim(claim.into()),
-            customer: customer.clone(),
-            search: req.query.search,
-            class: label.class.clone(),
-            key: req.key,
-            body: req.query.body,
-            priority,
-            deadline: now + self.backlog.left(now, deadline - now),
-        };
+        let id = RunId::Claim(claim.into());
+        let work = self.admitted_work(now, id, req.key, req.query, admitted);
         self.claim(now, work, Waiter::Caller { caller, label }, out);
         Ok(())
     }
 
-    /// Runs a key for another host, which has admitted the request and found
-    /// this host's claim.
-    pub(crate) fn on_run_claim(
+    pub(crate) fn claim(
         &mut self,
         now: Instant,
-        from: &Name,
-        req: RunClaim,
+        work: Work,
+        waiter: Waiter,
         out: &mut Vec<Action>,
     ) {
-        let waiter = Waiter::Forwarder {
-            host: from.clone(),
-            request: req.request,
-        };
-        let work = Work {
-            id: RunId::Claim(req.claim),
-            customer: req.customer,
-            search: req.search,
-            class: req.class,
-            key: req.key,
-            body: req.body,
-            priority: req.priority,
-            deadline: now + self.fresh_budget(from, req.budget),
-        };
-        self.claim(now, work, waiter, out);
-    }
-
-    fn claim(&mut self, now: Instant, work: Work, waiter: Waiter, out: &mut Vec<Action>) {
         let RunId::Claim(claim) = work.id.clone() else {
             return;
         };
@@ -222,8 +186,7 @@
         host: &Name,
         out: &mut Vec<Action>,
     ) {
-        let (Some(waiter), RunId::Claim(claim)) = (self.runs.take_waiter(number), work.id.clone())
-        else {
+        let Some(waiter) = self.runs.take_waiter(number) else {
             return;
         };
         if let Waiter::Forwarder { .. } = waiter {
@@ -231,19 +194,6 @@
             // replaced by another host's. Forwarding is limited to one hop.
             return self.answer_waiter(now, waiter, &work.id, host_gone(), out);
         }
-        let budget = work.deadline.saturating_duration_since(now);
-        self.forward_run(waiter, work.id, host, work.deadline, |request| {
-            PeerMessage::RunClaim(RunClaim {
-                request,
-                claim,
-                customer: work.customer,
-                search: work.search,
-                class: work.class,
-                key: work.key,
-                body: work.body,
-                priority: work.priority,
-                budget,
-            })
-        });
+        self.forward_run(now, waiter, work, host);
     }
 }
--- a/crates/cornelwinch_host/src/lib.rs
+++ b/crates/cornelwinch_host/src/lib.rs
@@ -10,6 +10,7 @@
 mod fence;
 mod host;
 mod input;
+mod legs;
 mod message;
 mod owners;
 mod pause;
@@ -30,7 +31,7 @@
 pub use input::{Input, PlatformEvent};
 pub use message::{
     ConfigUpdate, LegBatch, LegDone, LegItem, LegRef, PeerMessage, QuarantineMark, Relay,
-    RelaySpan, RunClaim, RunTicket,
+    RelaySpan, RunRequest,
 };
 pub use owners::OwnedStatus;
 pub use request::{
--- a/crates/cornelwinch_host/src/message.rs
+++ b/crates/cornelwinch_host/src/message.rs
@@ -3,12 +3,14 @@
 use cornelwinch_admission::AdmissionMsg;
 use cornelwinch_config::Entry;
 use cornelwinch_limiter::HandoverState;
-use cornelwinch_tickets::{TicketId, TicketResult};
+use cornelwinch_tickets::TicketResult;
 use cornelwinch_types::{
     AttemptId, Fingerprint, KeyRange, LegRequest, LegResult, Name, QueryId, Revision, SnapshotId,
 };
 use serde::{Deserialize, Serialize};
 
+use crate::RunId;
+
 /// Message between hosts.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -57,12 +59,10 @@
     },
     /// Configuration entries.
     Config(ConfigUpdate),
-    /// Runs a ticket on the host that issued it.
-    RunTicket(RunTicket),
-    /// Runs a caller's key on the host that holds its claim.
-    RunClaim(RunClaim),
+    /// Runs a ticket or a caller's key on the host that may run it.
+    Run(RunRequest),
     /// Result of a forwarded ticket or key.
-    TicketDone {
+    RunDone {
         /// Number of the request at the forwarding host.
         request: u64,
         /// Result.
@@ -234,36 +234,14 @@
     pub last: Name,
 }
 
-/// A ticket's request, sent to the host that issued the ticket.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RunTicket {
-    /// Number of the request at the forwarding host.
-    pub request: u64,
-    /// The ticket.
-    pub ticket: TicketId,
-    /// Customer on whose behalf the request runs.
-    pub customer: Name,
-    /// Search to run it on.
-    pub search: Name,
-    /// Traffic class.
-    pub class: Name,
-    /// Key that selects the shard.
-    pub key: u64,
-    /// Request body.
-    pub body: Name,
-    /// Priority, 0 is served first.
-    pub priority: u8,
-    /// Time left until the deadline.
-    pub budget: Duration,
-}
-
-/// A request with a caller's key, sent to the host that holds its claim.
+/// A non-idempotent request, sent to the host that may run it: the one that
+/// issued its ticket, or the one that holds the claim of its key.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RunClaim {
+pub struct RunRequest {
     /// Number of the request at the forwarding host.
     pub request: u64,
-    /// Key of the caller with its customer.
-    pub claim: Name,
+    /// Ticket or claim.
+    pub id: RunId,
     /// Customer on whose behalf the request runs.
     pub customer: Name,
     /// Search to run it on.
--- a/crates/cornelwinch_host/src/peers.rs
+++ b/crates/cornelwinch_host/src/peers.rs
@@ -67,9 +67,8 @@
                 self.router.push(from, msg);
             }
             PeerMessage::Config(update) => self.on_config_update(now, from, update, out),
-            PeerMessage::RunTicket(run) => self.on_run_ticket(now, from, run, out),
-            PeerMessage::RunClaim(run) => self.on_run_claim(now, from, run, out),
-            PeerMessage::TicketDone { request, result } => {
+            PeerMessage::Run(req) => self.on_run(now, from, req, out),
+            PeerMessage::RunDone { request, result } => {
                 self.on_run_done(now, from, request, result, out);
             }
             PeerMessage::Admission(msg) => {
--- a/crates/cornelwinch_host/src/running.rs
+++ b/crates/cornelwinch_host/src/running.rs
@@ -4,12 +4,14 @@
 use cornelwinch_types::{
     AttemptId, Fingerprint, KeyRange, LegRequest, LegResult, Name, QueryId, SnapshotId, SortedMap,
 };
+use serde::{Deserialize, Serialize};
 
+use crate::queries::AdmittedRequest;
 use crate::router::LegOrigin;
-use crate::{Action, CallerAnswer, Host, PeerMessage, RequestLabel};
+use crate::{Action, CallerAnswer, Host, PeerMessage, QueryRequest, RequestLabel, RunRequest};
 
 /// What makes a non-idempotent request run at most once.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RunId {
     /// A ticket.
     Ticket(TicketId),
@@ -35,6 +37,20 @@
     pub(crate) fn fingerprint(&self) -> Fingerprint {
         Fingerprint::of(&self.search, &format!("{}\0{}", self.key, self.body))
     }
+
+    fn into_request(self, now: Instant, request: u64) -> RunRequest {
+        RunRequest {
+            request,
+            id: self.id,
+            customer: self.customer,
+            search: self.search,
+            class: self.class,
+            key: self.key,
+            body: self.body,
+            priority: self.priority,
+            budget: self.deadline.saturating_duration_since(now),
+        }
+    }
 }
 
 /// Who waits for the result of a request.
@@ -258,31 +274,73 @@
                 });
             }
             Waiter::Forwarder { host, request } => {
-                let msg = PeerMessage::TicketDone { request, result };
+                let msg = PeerMessage::RunDone { request, result };
                 self.router.push(&host, msg);
             }
         }
     }
 
-    /// Waits for the result of a request that `host` runs. `msg` makes the
-    /// message from the number of the request.
-    pub(crate) fn forward_run(
-        &mut self,
-        waiter: Waiter,
+    /// Makes the work of an admitted request of a caller.
+    pub(crate) fn admitted_work(
+        &self,
+        now: Instant,
         id: RunId,
-        host: &Name,
-        deadline: Instant,
-        msg: impl FnOnce(u64) -> PeerMessage,
-    ) {
+        key: u64,
+        query: QueryRequest,
+        admitted: AdmittedRequest,
+    ) -> Work {
+        Work {
+            id,
+            customer: admitted.label.customer,
+            search: query.search,
+            class: admitted.label.class,
+            key,
+            body: query.body,
+            priority: admitted.priority,
+            deadline: now + self.backlog.left(now, admitted.deadline - now),
+        }
+    }
+
+    /// Sends a request to the host that may run it and waits for the result.
+    pub(crate) fn forward_run(&mut self, now: Instant, waiter: Waiter, work: Work, host: &Name) {
         let request = self.runs.next_number();
         let forwarded = Forwarded {
             waiter,
-            id,
+            id: work.id.clone(),
             host: host.clone(),
-            deadline,
+            deadline: work.deadline,
         };
         self.runs.forwarded.insert(request, forwarded);
-        self.router.push(host, msg(request));
+        let msg = PeerMessage::Run(work.into_request(now, request));
+        self.router.push(host, msg);
+    }
+
+    /// Runs a request for another host, which has admitted it.
+    pub(crate) fn on_run(
+        &mut self,
+        now: Instant,
+        from: &Name,
+        req: RunRequest,
+        out: &mut Vec<Action>,
+    ) {
+        let waiter = Waiter::Forwarder {
+            host: from.clone(),
+            request: req.request,
+        };
+        let work = Work {
+            id: req.id,
+            customer: req.customer,
+            search: req.search,
+            class: req.class,
+            key: req.key,
+            body: req.body,
+            priority: req.priority,
+            deadline: now + self.fresh_budget(from, req.budget),
+        };
+        match work.id {
+            RunId::Ticket(_) => self.begin_ticket(now, work, waiter, out),
+            RunId::Claim(_) => self.claim(now, work, waiter, out),
+        }
     }
 
     pub(crate) fn on_run_done(
--- a/crates/cornelwinch_host/src/ticketing.rs
+++ b/crates/cornelwinch_host/src/ticketing.rs
@@ -1,13 +1,10 @@
 use std::time::{Duration, Instant};
 
 use cornelwinch_tickets::{Begin, TicketConfig, TicketResult, Tickets};
-use cornelwinch_types::{Member, MemberState, Name};
+use cornelwinch_types::{Member, MemberState};
 
-use crate::queries::AdmittedRequest;
 use crate::running::{RunId, Waiter, Work, host_gone};
-use crate::{
-    Action, CallerAnswer, Host, PeerMessage, Rejection, RequestLabel, RunTicket, TicketRequest,
-};
+use crate::{Action, CallerAnswer, Host, Rejection, RequestLabel, TicketRequest};
 
 /// Tickets held by one host process.
 const TICKET_CAPACITY: usize = 200_000;
@@ -71,23 +68,9 @@
         out: &mut Vec<Action>,
     ) -> Result<(), (RequestLabel, Rejection)> {
         let admitted = self.admit(now, &req.query)?;
-        let AdmittedRequest {
-            label,
-            priority,
-            deadline,
-            ..
-        } = admitted;
         let local = req.ticket.host == self.cfg.me.name;
-        let work = Work {
-            id: RunId::Ticket(req.ticket),
-            customer: label.customer.clone(),
-            search: req.query.search,
-            class: label.class.clone(),
-            key: req.key,
-            body: req.query.body,
-            priority,
-            deadline: now + self.backlog.left(now, deadline - now),
-        };
+        let label = admitted.label.clone();
+        let work = self.admitted_work(now, RunId::Ticket(req.ticket), req.key, req.query, admitted);
         let waiter = Waiter::Caller { caller, label };
         if local {
             self.begin_ticket(now, work, waiter, out);
@@ -103,7 +86,6 @@
         let RunId::Ticket(ticket) = &work.id else {
             return;
         };
-        let ticket = ticket.clone();
         let reachable = self.membership.members().iter().any(|member| {
             member.name == ticket.host
                 && member.incarnation == ticket.incarnation
@@ -114,48 +96,16 @@
             return;
         }
         let host = ticket.host.clone();
-        let budget = work.deadline.saturating_duration_since(now);
-        self.forward_run(waiter, work.id, &host, work.deadline, |request| {
-            PeerMessage::RunTicket(RunTicket {
-                request,
-                ticket,
-                customer: work.customer,
-                search: work.search,
-                class: work.class,
-                key: work.key,
-                body: work.body,
-                priority: work.priority,
-                budget,
-            })
-        });
+        self.forward_run(now, waiter, work, &host);
     }
 
-    /// Runs a ticket for another host, which has admitted the request.
-    pub(crate) fn on_run_ticket(
+    pub(crate) fn begin_ticket(
         &mut self,
         now: Instant,
-        from: &Name,
-        req: RunTicket,
+        work: Work,
+        waiter: Waiter,
         out: &mut Vec<Action>,
     ) {
-        let waiter = Waiter::Forwarder {
-            host: from.clone(),
-            request: req.request,
-        };
-        let work = Work {
-            id: RunId::Ticket(req.ticket),
-            customer: req.customer,
-            search: req.search,
-            class: req.class,
-            key: req.key,
-            body: req.body,
-            priority: req.priority,
-            deadline: now + self.fresh_budget(from, req.budget),
-        };
-        self.begin_ticket(now, work, waiter, out);
-    }
-
-    fn begin_ticket(&mut self, now: Instant, work: Work, waiter: Waiter, out: &mut Vec<Action>) {
         let RunId::Ticket(ticket) = &work.id else {
             return;
         };
