--- a/examples/measure/main.rs
+++ b/examples/measure/main.rs
@@ -5,6 +5,7 @@
 
 mod cold;
 mod hosts;
+mod legs;
 mod load;
 mod owner;
 mod plans;
@@ -32,8 +33,9 @@
         ["cold"] => cold::measure(),
         ["hosts"] => hosts::measure(),
         ["plans"] => plans::measure(),
+        ["legs"] => legs::measure(),
         ["scale", ref counts @ ..] => scale::measure(counts),
-        _ => Err("usage: measure owner|tail|zone|cold|hosts|plans|scale [HOSTS ...]".into()),
+        _ => Err("usage: measure owner|tail|zone|cold|hosts|plans|legs|scale [HOSTS ...]".into()),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/examples/measure/scale.rs
+++ b/examples/measure/scale.rs
@@ -16,7 +16,7 @@
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(15);
 
 /// Kernel clock ticks per second, as `/proc` counts processor time on Linux.
-const TICKS_PER_S: f64 = 100.0;
+pub(crate) const TICKS_PER_S: f64 = 100.0;
 
 /// What one host costs at rest, for several numbers of hosts in three zones.
 pub(crate) fn measure(counts: &[&str]) -> Outcome {
@@ -48,11 +48,11 @@
 }
 
 #[derive(Debug, Default, Clone, Copy)]
-struct Cost {
-    cpu_ticks: f64,
+pub(crate) struct Cost {
+    pub(crate) cpu_ticks: f64,
     udp: f64,
-    tcp: f64,
-    rss_mb: f64,
+    pub(crate) tcp: f64,
+    pub(crate) rss_mb: f64,
     threads: f64,
     fds: f64,
 }
@@ -121,7 +121,8 @@
     Ok(start.elapsed())
 }
 
-fn cost(host: &HostProcess) -> Cost {
+/// What a host has cost so far.
+pub(crate) fn cost(host: &HostProcess) -> Cost {
     let Some(pid) = host.pid() else {
         return Cost::default();
     };
