Keep the cold limit on upstreams of a zone that is cut off

Cause: hosts of other zones took over the upstreams of a zone that they cannot reach and, after the guard interval, used all slots, while the zone's own hosts did the same: twice the slots if both sides reach the upstream. Ruled out: no takeover (a zone has one or two hosts today; the crash of the only one looks the same and would leave its upstreams without an owner). Change: such an owner counts as unconfirmed until the zone can be reached. Conclusion: the bound is slots plus cold limit for the whole partition.

--- a/crates/cornelwinch_host/src/configuration.rs
+++ b/crates/cornelwinch_host/src/configuration.rs
@@ -4,7 +4,7 @@
 use cornelwinch_placement::{UpstreamSite, shard_group, top_hosts};
 use cornelwinch_types::{Name, SortedMap};
 
-use crate::owners::OwnerOutput;
+use crate::owners::{OwnerOutput, OwnerTerms};
 use crate::sync::Applied;
 use crate::{Action, ConfigUpdate, Host, PeerMessage, PlatformCall, PlatformEvent, Routing};
 
@@ -261,16 +261,19 @@
                     continue;
                 }
                 if let Some(spec) = state.upstream(name) {
-                    let leaving = state.is_upstream_out(name)
-                        || self.leaving_upstreams.binary_search(name).is_ok();
+                    let terms = OwnerTerms {
+                        leaving: state.is_upstream_out(name)
+                            || self.leaving_upstreams.binary_search(name).is_ok(),
+                        held: spec.zone != self.cfg.me.zone
+                            && !self.membership.is_zone_reachable(&spec.zone),
+                    };
                     let mut spec = spec.clone();
                     if direct {
                         let hosts = self.membership.members().len().max(1) as u32;
                         spec.slots = (spec.slots / hosts).max(1);
                         spec.cold_limit = spec.cold_limit.min(spec.slots);
                     }
-                    self.owners
-                        .acquire(now, name, &spec, leaving, &mut owner_out);
+                    self.owners.acquire(now, name, &spec, terms, &mut owner_out);
                 }
             }
         }
--- a/crates/cornelwinch_host/src/owners.rs
+++ b/crates/cornelwinch_host/src/owners.rs
@@ -31,6 +31,17 @@
     /// In-flight count that the successor was told last.
     reported: usize,
     next_probe: Option<Instant>,
+    /// The upstream's own zone cannot be reached, and its hosts may own it too.
+    held: bool,
+}
+
+/// Whether and how this host may use an upstream that it owns.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct OwnerTerms {
+    /// The upstream takes no new work.
+    pub(crate) leaving: bool,
+    /// The upstream's own zone cannot be reached, and its hosts may own it too.
+    pub(crate) held: bool,
 }
 
 /// Result of a leg for the host that submitted it.
@@ -140,7 +151,7 @@
         now: Instant,
         upstream: &Name,
         spec: &UpstreamSpec,
-        leaving: bool,
+        terms: OwnerTerms,
         out: &mut OwnerOutput,
     ) {
         let start = match self.arrived.remove(upstream) {
@@ -148,7 +159,7 @@
             None => Start::Takeover,
         };
         let cfg = self.config(spec);
-        let confirmed = self.confirmed;
+        let confirmed = self.confirmed && !terms.held;
         let opened = match self.owned.get_mut(upstream) {
             Some(owned) => {
                 let same_limits = owned.spec.slots == spec.slots
@@ -156,6 +167,7 @@
                     && owned.spec.address == spec.address;
                 let returned = owned.successor.take().is_some();
                 owned.spec = spec.clone();
+                owned.held = terms.held;
                 let start = if returned {
                     start
                 } else {
@@ -175,6 +187,7 @@
                     successor: None,
                     reported: 0,
                     next_probe: None,
+                    held: terms.held,
                 };
                 self.owned.insert(upstream.clone(), owned);
                 true
@@ -188,7 +201,7 @@
         }
         self.with(upstream, now, out, |limiter, actions| {
             limiter.set_confirmed(now, confirmed, actions);
-            limiter.set_leaving(now, leaving, actions);
+            limiter.set_leaving(now, terms.leaving, actions);
         });
     }
 
@@ -376,7 +389,12 @@
             return;
         }
         self.confirmed = confirmed;
-        let names: Vec<Name> = self.owned.keys().cloned().collect();
+        let names: Vec<Name> = self
+            .owned
+            .iter()
+            .filter(|(_, owned)| !owned.held)
+            .map(|(name, _)| name.clone())
+            .collect();
         for name in names {
             self.with(&name, now, out, |limiter, actions| {
                 limiter.set_confirmed(now, confirmed, actions);
--- a/crates/cornelwinch_host/tests/fake/mod.rs
+++ b/crates/cornelwinch_host/tests/fake/mod.rs
@@ -204,13 +204,25 @@
         self.nodes[node].paused = self.nodes[node].host.is_some();
     }
 
-    /// Host that owns an upstream.
-    pub(crate) fn owner(&self, upstream: &str) -> usize {
-        let owns = |node: &Node| {
-            let status = node.host.as_ref().map(Host::status);
-            status.is_some_and(|s| s.owned.iter().any(|owned| &*owned.upstream == upstream))
+    /// Hosts that own an upstream, with the legs that each allows in flight.
+    pub(crate) fn owners(&self, upstream: &str) -> Vec<(usize, usize)> {
+        let limit = |node: &Node| {
+            let status = node.host.as_ref()?.status();
+            let owned = status.owned.iter().find(|o| &*o.upstream == upstream)?;
+            Some(owned.limit)
         };
-        self.nodes.iter().position(owns).expect("an owner")
+        self.nodes
+            .iter()
+            .enumerate()
+            .filter_map(|(i, node)| Some((i, limit(node)?)))
+            .collect()
+    }
+
+    /// The only host that owns an upstream.
+    pub(crate) fn owner(&self, upstream: &str) -> usize {
+        let owners = self.owners(upstream);
+        assert_eq!(owners.len(), 1, "owners of {upstream}: {owners:?}");
+        owners[0].0
     }
 
     pub(crate) fn resume(&mut self, node: usize) {
--- a/crates/cornelwinch_host/tests/fake/search.rs
+++ b/crates/cornelwinch_host/tests/fake/search.rs
@@ -22,8 +22,9 @@
 }
 
 impl World {
-    /// Configures one search with one shard on an upstream of each zone.
-    pub(crate) fn configure_search(&mut self) {
+    /// Configures an upstream in each zone, and a search with one shard on some of
+    /// them.
+    pub(crate) fn configure_search(&mut self, replicas: &[&str]) {
         let name = || Name::from("portal");
         for (upstream, zone) in [("u-a", "a"), ("u-b", "b")] {
             let spec = UpstreamSpec {
@@ -52,7 +53,7 @@
                 end: SHARD_KEYS,
             },
             documents: SHARD_KEYS,
-            replicas: vec!["u-a".into(), "u-b".into()],
+            replicas: replicas.iter().map(|name| Name::from(*name)).collect(),
         };
         let snapshot = Snapshot {
             search: name(),
--- a/crates/cornelwinch_host/tests/mark_spread.rs
+++ b/crates/cornelwinch_host/tests/mark_spread.rs
@@ -19,7 +19,7 @@
 
 fn started() -> World {
     let mut world = World::with_hosts(1, HOSTS);
-    world.configure_search();
+    world.configure_search(&["u-a", "u-b"]);
     world.run(Duration::from_secs(12));
     world.check_spread();
     world
--- a/crates/cornelwinch_host/tests/owner_silence.rs
+++ b/crates/cornelwinch_host/tests/owner_silence.rs
@@ -17,7 +17,7 @@
 fn silent_owner_loses_legs() {
     let mut world = World::new(1);
     world.answers = true;
-    world.configure_search();
+    world.configure_search(&["u-a", "u-b"]);
     world.run(Duration::from_secs(12));
     world.check_spread();
     let frozen = world.owner("u-a");
