Report invariant failures as a metric and shrink the read buffers of peers

Cause: failed invariant checks were in the status only; measure scale showed resident memory that grew by about 30 kB for each further host (9.3 MB at 12 hosts, 10.4 MB at 48), which 7,900 hosts cannot have. Ruled out: the member table (about 100 bytes a member on the wire). Change: the StatsD counter violations; a read buffer of 8 KB in place of the library's 128 KB for each connection between hosts. Conclusion: the buffers are bounded by the number of owners that a host talks to.

--- a/crates/cornelwinch_daemon/src/actor.rs
+++ b/crates/cornelwinch_daemon/src/actor.rs
@@ -63,6 +63,8 @@
     timer: FixedTimerKey,
     scheduled: Option<Instant>,
     actions: Vec<Action>,
+    /// Failed invariant checks that have been reported.
+    violations: u64,
     exited: bool,
 }
 
@@ -82,6 +84,7 @@
             timer: FixedTimerKey::default(),
             scheduled: None,
             actions,
+            violations: 0,
             exited: false,
         };
         actor.carry_out(cx);
@@ -138,9 +141,20 @@
     fn on_timer(&mut self, cx: CX![]) {
         self.scheduled = None;
         self.host.on_wake(cx.now(), &mut self.actions);
+        self.count_violations();
         self.carry_out(cx);
     }
 
+    fn count_violations(&mut self) {
+        let violations = self.host.violations();
+        if violations > self.violations {
+            let new = violations - self.violations;
+            log::error!("event=invariant_failed new={new} total={violations}");
+            self.adapters.metrics.count_violations(new);
+            self.violations = violations;
+        }
+    }
+
     fn accept(
         &mut self,
         now: Instant,
--- a/crates/cornelwinch_daemon/src/metrics.rs
+++ b/crates/cornelwinch_daemon/src/metrics.rs
@@ -110,6 +110,12 @@
         })
     }
 
+    /// Counts failed invariant checks.
+    pub(crate) fn count_violations(&self, n: u64) {
+        // A lost metric is not worth an error.
+        let _ = self.client.count("violations", n);
+    }
+
     /// Records the end of a request.
     pub(crate) fn record(
         &mut self,
--- a/crates/cornelwinch_host/src/status.rs
+++ b/crates/cornelwinch_host/src/status.rs
@@ -61,6 +61,15 @@
         u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// Failed invariant checks since the start.
+    pub fn violations(&self) -> u64 {
+        self.owners.violations()
+            + self.sync.state.violations()
+            + self.ticketing.tickets.violations()
+            + self.claiming.violations()
+            + self.stats.counters().violations
+    }
+
     /// Reports the state of this host.
     pub fn status(&self) -> HostStatus {
         let counters = self.stats.counters();
@@ -77,10 +86,7 @@
             legs_total: counters.legs,
             hedges_total: counters.hedges,
             backlog_ms: self.backlog_ms(),
-            violations: self.owners.violations()
-                + self.sync.state.violations()
-                + self.ticketing.tickets.violations()
-                + self.claiming.violations(),
+            violations: self.violations(),
             members: self
                 .membership
                 .members()
--- a/crates/cornelwinch_peer/src/handshake.rs
+++ b/crates/cornelwinch_peer/src/handshake.rs
@@ -9,6 +9,7 @@
 use tokio::time::timeout;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
 use crate::error::SocketSnafu;
 use crate::{PeerConfig, PeerError, decode, encode};
@@ -16,6 +17,15 @@
 /// Longest time for each message of the handshake.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Bytes read at once. A host at the planned size has hundreds of connections,
+/// and the library's buffer of 128 KB for each would be most of its memory.
+const READ_BUFFER_BYTES: usize = 8 << 10;
+
+/// Settings of the sockets on both sides.
+pub(crate) fn socket_config() -> WebSocketConfig {
+    WebSocketConfig::default().read_buffer_size(READ_BUFFER_BYTES)
+}
+
 pub(crate) type Socket = WebSocketStream<TcpStream>;
 
 /// First message, from the accepting side.
--- a/crates/cornelwinch_peer/src/inbound.rs
+++ b/crates/cornelwinch_peer/src/inbound.rs
@@ -10,6 +10,7 @@
 use tokio_tungstenite::tungstenite::Message;
 
 use crate::error::SocketSnafu;
+use crate::handshake::socket_config;
 use crate::transport::LinkContext;
 use crate::{PeerError, PeerEvent, decode, handshake};
 
@@ -62,10 +63,13 @@
 ) -> Result<(), PeerError> {
     // A failure to turn off Nagle's algorithm only costs latency.
     let _ = stream.set_nodelay(true);
-    let mut socket = timeout(UPGRADE_TIMEOUT, tokio_tungstenite::accept_async(stream))
-        .await
-        .map_err(|_| PeerError::Timeout { step: "upgrade" })?
-        .context(SocketSnafu { step: "upgrade" })?;
+    let mut socket = timeout(
+        UPGRADE_TIMEOUT,
+        tokio_tungstenite::accept_async_with_config(stream, Some(socket_config())),
+    )
+    .await
+    .map_err(|_| PeerError::Timeout { step: "upgrade" })?
+    .context(SocketSnafu { step: "upgrade" })?;
     let name = handshake::accept(&cx.cfg, &mut socket).await?;
     *peer = Some(name.clone());
     while let Some(frame) = socket.next().await {
--- a/crates/cornelwinch_peer/src/outbound.rs
+++ b/crates/cornelwinch_peer/src/outbound.rs
@@ -10,7 +10,7 @@
 use tokio_tungstenite::tungstenite::Message;
 
 use crate::error::SocketSnafu;
-use crate::handshake::{self, Socket};
+use crate::handshake::{self, Socket, socket_config};
 use crate::transport::LinkContext;
 use crate::{PeerConfig, PeerError, PeerEvent, TrafficCounts, encode};
 
@@ -52,9 +52,13 @@
             .await
             .map_err(|error| fail(error.to_string()))?;
         let _ = stream.set_nodelay(true);
-        let (mut socket, _) = tokio_tungstenite::client_async(format!("ws://{addr}/"), stream)
-            .await
-            .context(SocketSnafu { step: "upgrade" })?;
+        let (mut socket, _) = tokio_tungstenite::client_async_with_config(
+            format!("ws://{addr}/"),
+            stream,
+            Some(socket_config()),
+        )
+        .await
+        .context(SocketSnafu { step: "upgrade" })?;
         handshake::connect(cfg, peer, &mut socket).await?;
         Ok(socket)
     };
