Make the guard of a takeover cover the longest deadline of a class

Cause: the guard interval was 2 s whatever the classes allow; a class with a longer deadline could have legs of the previous owner at an upstream after it. Ruled out: a fixed longer guard, which slows every takeover. Change: the guard is not shorter than the longest deadline of any class.

--- a/crates/cornelwinch_host/src/configuration.rs
+++ b/crates/cornelwinch_host/src/configuration.rs
@@ -209,6 +209,10 @@
             applied.entries.len()
         );
         let changed = |kind: Kind| applied.entries.iter().any(|entry| entry.kind() == kind);
+        if changed(Kind::Class) {
+            self.owners
+                .set_longest_leg(longest_deadline(&self.sync.state));
+        }
         if changed(Kind::Upstream) || changed(Kind::Zone) || changed(Kind::Snapshot) {
             self.apply_upstreams(now, &applied.entries, out);
         }
@@ -327,3 +331,11 @@
         })
         .collect()
 }
+
+/// Longest deadline of any class, which bounds that of a leg.
+fn longest_deadline(state: &ConfigState) -> Duration {
+    let classes = state.entries_of(Kind::Class).iter();
+    let deadlines = classes.filter_map(|entry| state.class(&entry.name));
+    let longest = deadlines.map(|policy| policy.deadline_ms).max();
+    Duration::from_millis(longest.unwrap_or_default())
+}
--- a/crates/cornelwinch_host/src/owners.rs
+++ b/crates/cornelwinch_host/src/owners.rs
@@ -64,6 +64,7 @@
 #[derive(Debug)]
 pub(crate) struct Owners {
     limits: OwnerLimits,
+    longest_leg: Duration,
     owned: SortedMap<Name, Owned>,
     arrived: SortedMap<Name, (HandoverState, Instant)>,
     confirmed: bool,
@@ -91,6 +92,7 @@
     pub(crate) fn new(limits: OwnerLimits) -> Self {
         Self {
             limits,
+            longest_leg: Duration::ZERO,
             owned: SortedMap::new(),
             arrived: SortedMap::new(),
             confirmed: true,
@@ -98,6 +100,12 @@
         }
     }
 
+    /// Sets the longest deadline of a leg; the guard of later takeovers is not
+    /// shorter, because legs of the previous owner may run until then.
+    pub(crate) fn set_longest_leg(&mut self, longest: Duration) {
+        self.longest_leg = longest;
+    }
+
     /// Names of the upstreams that this host owns.
     pub(crate) fn names(&self) -> impl Iterator<Item = &Name> {
         self.owned
@@ -209,7 +217,7 @@
         LimiterConfig {
             slots: spec.slots as usize,
             cold_limit: spec.cold_limit as usize,
-            guard: self.limits.guard,
+            guard: self.limits.guard.max(self.longest_leg),
             queue_limit: self.limits.queue,
             settle: self.limits.settle,
             ..LimiterConfig::default()
