--- a/crates/cornelwinch_gather/src/latency.rs
+++ b/crates/cornelwinch_gather/src/latency.rs
@@ -5,7 +5,7 @@
 
 /// A window ends after this time if it has enough samples; the samples of the
 /// window before the last no longer count.
-const WINDOW: Duration = Duration::from_secs(10);
+const WINDOW: Duration = Duration::from_secs(3);
 /// Longest latency that is told apart, in microseconds.
 const MAX_MICROS: u64 = 60_000_000;
 /// Fewer samples than this do not determine a high quantile.
