Offer a mix of classes from the command line

Cause: cornelwinch bench took one kind of request. Ruled out: a file that describes the mix; one option is enough for a few kinds. Conclusion: the load tool offers what its library can.

--- a/crates/cornelwinch_cli/src/args.rs
+++ b/crates/cornelwinch_cli/src/args.rs
@@ -151,6 +151,10 @@
     pub(crate) search: String,
     #[bpaf(argument("NAME"))]
     pub(crate) class: String,
+    /// Further kind of request beside --search and --class, which have the
+    /// weight 1; may be repeated
+    #[bpaf(argument("SEARCH:CLASS:WEIGHT"))]
+    pub(crate) mix: Vec<MixKind>,
     /// Deadline of each request
     #[bpaf(argument("MS"), fallback(1_000))]
     pub(crate) deadline_ms: u64,
@@ -175,6 +179,34 @@
     pub(crate) body: Vec<String>,
 }
 
+/// A kind of request and its share, relative to the other kinds.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct MixKind {
+    pub(crate) search: String,
+    pub(crate) class: String,
+    pub(crate) weight: f64,
+}
+
+impl FromStr for MixKind {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let parts: Vec<&str> = text.split(':').collect();
+        let [search, class, weight] = parts[..] else {
+            return Err("expected SEARCH:CLASS:WEIGHT");
+        };
+        let weight: f64 = weight.parse().map_err(|_| "the weight must be a number")?;
+        if !weight.is_finite() || weight <= 0.0 {
+            return Err("the weight must be above 0");
+        }
+        Ok(Self {
+            search: search.to_owned(),
+            class: class.to_owned(),
+            weight,
+        })
+    }
+}
+
 #[derive(Debug, Clone, Bpaf)]
 pub(crate) struct WaitArgs {
     /// Waits until the change is in force on the hosts
--- a/crates/cornelwinch_cli/src/bench.rs
+++ b/crates/cornelwinch_cli/src/bench.rs
@@ -10,7 +10,7 @@
 
 /// Offers load to hosts and prints the report; fails if an answer was wrong.
 pub(crate) fn run(args: &BenchArgs, out: &mut impl Write) -> Result<bool, CliError> {
-    let item = MixItem {
+    let first = MixItem {
         search: args.search.clone(),
         class: args.class.clone(),
         token: read(&args.token_file)?.trim().to_owned(),
@@ -19,11 +19,18 @@
         tickets: args.tickets,
         ..MixItem::default()
     };
+    let others = args.mix.iter().map(|kind| MixItem {
+        search: kind.search.clone(),
+        class: kind.class.clone(),
+        weight: kind.weight,
+        ..first.clone()
+    });
+    let mix = std::iter::once(first.clone()).chain(others).collect();
     let cfg = BenchConfig {
         targets: args.host.clone(),
         rate_per_s: args.rate,
         duration: Duration::from_secs(args.duration),
-        mix: vec![item],
+        mix,
         seed: args.seed,
         connections: args.connections,
         bodies: args.body.clone(),
--- a/tests/operator_commands.rs
+++ b/tests/operator_commands.rs
@@ -93,6 +93,8 @@
     let load = [
         "--class",
         "portal",
+        "--mix",
+        "portal:portal:2",
         "--rate",
         "20",
         "--duration",
@@ -104,4 +106,8 @@
     assert_eq!(code, 0, "{out}{err}");
     let report: Value = serde_json::from_str(&out).unwrap();
     assert_eq!(report["wrong"], 0, "{out}");
+    assert!(
+        report["total"]["outcomes"]["done"].as_u64() > Some(0),
+        "{out}"
+    );
 }
