--- a/crates/cornelwinch_daemon/src/daemon.rs
+++ b/crates/cornelwinch_daemon/src/daemon.rs
@@ -32,13 +32,13 @@
 const FLUSH_LIMIT: Duration = Duration::from_secs(2);
 const FLUSH_POLL: Duration = Duration::from_millis(10);
 
-/// Time for which a new owner stays at the cold limit after a crash. It
-/// exceeds the deadline of any leg that the previous owner can have sent.
+/// Shortest time for which a new owner stays at the cold limit after a crash.
+/// The host makes it as long as the longest deadline of a class.
 const GUARD: Duration = Duration::from_secs(2);
 
-/// Time for which a new owner sends nothing after a crash. The previous owner
-/// is declared dead at least a suspicion time after its last message, and legs
-/// end within their deadline, which is shorter.
+/// Time for which a new owner sends nothing after a crash. None is needed: a host
+/// is declared dead a suspicion time (3 s) after its last message, and the legs
+/// that it had sent have ended by then.
 const SETTLE: Duration = Duration::ZERO;
 
 /// Queries in progress on one host.
