Name the condition of the settle time

Cause: the comment held only for deadlines below the suspicion time. Ruled out: another value; the guard covers longer deadlines. Change: the comment only. Conclusion: the condition stands beside the constant.

--- a/crates/cornelwinch_daemon/src/daemon.rs
+++ b/crates/cornelwinch_daemon/src/daemon.rs
@@ -36,9 +36,9 @@
 /// The host makes it as long as the longest deadline of a class.
 const GUARD: Duration = Duration::from_secs(2);
 
-/// Time for which a new owner sends nothing after a crash. None is needed: a host
-/// is declared dead a suspicion time (3 s) after its last message, and the legs
-/// that it had sent have ended by then.
+/// Time for which a new owner sends nothing after a crash. None is needed while
+/// deadlines are shorter than the suspicion time (3 s): a host is declared dead
+/// after it, and the legs that it had sent have ended by then.
 const SETTLE: Duration = Duration::ZERO;
 
 /// Queries in progress on one host.
