--- /dev/null
+++ b/crates/cornelwinch_relay/src/callers.rs
@@ -0,0 +1,70 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::core::Shared;
+use crate::handle::handle;
+
+/// Pause after a failed accept, which mostly means that descriptors are short.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Bound on the heads of callers' requests in bytes.
+const HEAD_BYTES: usize = 64 * 1024;
+
+/// Accepts connections of callers until the process ends. Once `close_idle` is
+/// true, connections end as soon as no request is on them.
+pub(crate) async fn serve_callers(
+    shared: Rc<Shared>,
+    listener: TcpListener,
+    close_idle: watch::Receiver<bool>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                let (shared, close_idle) = (shared.clone(), close_idle.clone());
+                tokio::task::spawn_local(async move {
+                    if let Err(error) = serve_connection(shared, stream, close_idle).await {
+                        log::debug!("event=caller_connection_ended peer={peer} reason=\"{error}\"");
+                    }
+                });
+            }
+            Err(error) => {
+                log::warn!("event=accept_failed reason=\"{error}\"");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(
+    shared: Rc<Shared>,
+    stream: TcpStream,
+    mut close_idle: watch::Receiver<bool>,
+) -> Result<(), hyper::Error> {
+    // Without it the connection works, only slower.
+    let _ = stream.set_nodelay(true);
+    let idle = {
+        let core = shared.core.borrow();
+        core.table
+            .as_ref()
+            .map_or_else(Default::default, |table| table.limits())
+            .idle
+    };
+    let service = service_fn(move |request| handle(shared.clone(), request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    tokio::select! {
+        end = connection.as_mut() => return end,
+        _ = close_idle.wait_for(|close| *close) => connection.as_mut().graceful_shutdown(),
+    }
+    connection.await
+}
--- /dev/null
+++ b/crates/cornelwinch_relay/src/core.rs
@@ -0,0 +1,177 @@
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use cornelwinch_routing::{
+    BudgetShare, CrashMarks, Fleet, Route, RouteTable, SplitCursor, UpstreamId, UpstreamView,
+};
+use cornelwinch_routing::{RetryBudget, Service};
+use cornelwinch_types::{Name, SortedMap};
+
+use crate::metrics::Metrics;
+use crate::pool::Pool;
+use crate::{Dialect, RelaySettings};
+
+/// Hosts that are assumed until the registered ones are known.
+const HOSTS_ASSUMED: usize = 16;
+
+/// Share of a bound on cold upstreams that is spent; messages of one second may
+/// arrive in the next.
+const COLD_MARGIN: f64 = 0.8;
+
+/// Change of the usual leg time by each sample above or below it.
+const TYPICAL_STEP: f64 = 0.03;
+
+/// Share of a route's goal that is assumed as usual leg time at first.
+const TYPICAL_SHARE: f64 = 0.15;
+
+/// What the decisions of all requests share.
+#[derive(Debug)]
+pub(crate) struct Core {
+    pub(crate) table: Option<Rc<RouteTable>>,
+    pub(crate) fleet: Fleet,
+    pub(crate) budget: RetryBudget,
+    pub(crate) marks: CrashMarks,
+    pub(crate) metrics: Metrics,
+    /// Largest number of hosts that was registered in this lifetime.
+    pub(crate) hosts: Option<usize>,
+    pub(crate) rng: fastrand::Rng,
+    cursors: SortedMap<Name, SplitCursor>,
+    /// Median time of a leg, by route.
+    typical: SortedMap<Name, Duration>,
+}
+
+/// State of a relay that its tasks share; all run on one thread.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) core: RefCell<Core>,
+    pub(crate) pool: Pool,
+    pub(crate) dialect: Dialect,
+    pub(crate) settings: RefCell<RelaySettings>,
+    /// Set from the request to stop on.
+    pub(crate) draining: Cell<bool>,
+    /// Requests of callers that are being answered.
+    pub(crate) active: Cell<usize>,
+    tokens: Cell<u64>,
+}
+
+impl Shared {
+    pub(crate) fn new(settings: RelaySettings, dialect: Dialect) -> Self {
+        Self {
+            core: RefCell::new(Core {
+                table: None,
+                fleet: Fleet::new(),
+                budget: RetryBudget::new(Instant::now()),
+                marks: CrashMarks::default(),
+                metrics: Metrics::default(),
+                hosts: None,
+                rng: fastrand::Rng::new(),
+                cursors: SortedMap::new(),
+                typical: SortedMap::new(),
+            }),
+            pool: Pool::default(),
+            dialect,
+            settings: RefCell::new(settings),
+            draining: Cell::new(false),
+            active: Cell::new(0),
+            tokens: Cell::new(0),
+        }
+    }
+
+    pub(crate) fn next_token(&self) -> u64 {
+        self.tokens.set(self.tokens.get() + 1);
+        self.tokens.get()
+    }
+
+    /// This host's part of the bound on repeats.
+    pub(crate) fn budget_share(&self) -> BudgetShare {
+        let bounds = self.settings.borrow().bounds;
+        BudgetShare {
+            ratio: bounds.repeat_ratio,
+            window: Duration::from_secs_f64(bounds.repeat_window_s),
+            slack: bounds.repeat_slack,
+            hosts: self.core.borrow().host_count(),
+        }
+    }
+
+    /// Counts a caller's request to a service.
+    pub(crate) fn count_request(&self, service: &Name) {
+        let share = self.budget_share();
+        let mut core = self.core.borrow_mut();
+        core.budget.count_request(Instant::now(), &share, service);
+    }
+
+    /// Counts a repeat to a service and returns true if it is allowed.
+    pub(crate) fn spend_repeat(&self, service: &Name) -> bool {
+        let share = self.budget_share();
+        let mut core = self.core.borrow_mut();
+        let granted = core.budget.spend(Instant::now(), &share, service);
+        if granted {
+            core.metrics.repeats += 1;
+        } else {
+            core.metrics.repeats_denied += 1;
+        }
+        granted
+    }
+
+    /// Chooses an upstream of a service for the next leg.
+    pub(crate) fn pick(&self, service: &Name, tried: &[UpstreamId]) -> Option<UpstreamView> {
+        let settings = self.settings.borrow();
+        let core = &mut *self.core.borrow_mut();
+        let hosts = core.host_count() as f64;
+        let rate = core
+            .table
+            .as_ref()
+            .and_then(|table| table.service(service))
+            .and_then(|service: &Service| service.cold_per_s);
+        let bounds = &settings.bounds;
+        let cold_limit = rate.map(|rate| {
+            let all = rate * bounds.cold_overshoot + bounds.cold_slack;
+            (all * COLD_MARGIN / hosts) as usize
+        });
+        core.fleet.pick(
+            Instant::now(),
+            service,
+            &settings.zone,
+            tried,
+            cold_limit,
+            &mut core.rng,
+        )
+    }
+}
+
+impl Core {
+    /// Number of hosts that divide what all hosts share.
+    pub(crate) fn host_count(&self) -> usize {
+        self.hosts.unwrap_or(HOSTS_ASSUMED).max(1)
+    }
+
+    /// Service of the next request of a weighted split.
+    pub(crate) fn next_of_split(&mut self, route: &Route, parts: &[(Name, u32)]) -> Option<Name> {
+        self.cursors
+            .get_or_insert_with(route.name.clone(), SplitCursor::default)
+            .next(parts)
+    }
+
+    /// Usual time of a leg of a route.
+    pub(crate) fn typical(&self, route: &Route) -> Duration {
+        self.typical
+            .get(&route.name)
+            .copied()
+            .unwrap_or_else(|| route.goal.mul_f64(TYPICAL_SHARE))
+    }
+
+    /// Moves the usual time of a leg towards a sample.
+    pub(crate) fn record_leg_time(&mut self, route: &Route, time: Duration) {
+        let old = self.typical(route);
+        let factor = if time > old {
+            1.0 + TYPICAL_STEP
+        } else {
+            1.0 - TYPICAL_STEP
+        };
+        let new = old
+            .mul_f64(factor)
+            .clamp(Duration::from_micros(500), route.goal);
+        self.typical.insert(route.name.clone(), new);
+    }
+}
--- /dev/null
+++ b/crates/cornelwinch_relay/src/handle.rs
@@ -0,0 +1,189 @@
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use cornelwinch_routing::{Lookup, RequestPrint, Route, RouteTable, Target};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderValue};
+use hyper::{Request, Response, StatusCode};
+
+use crate::answer::Reply;
+use crate::core::Shared;
+use crate::headers::{millis, strip_hop_by_hop};
+use crate::leg::Outgoing;
+use crate::scatter::answer_scatter;
+use crate::single::answer_single;
+
+/// Taken off a deadline for the way of the answer back to the caller.
+const WAY_BACK: Duration = Duration::from_millis(5);
+
+/// Counts a request for as long as it is being answered.
+struct Active<'a>(&'a Shared);
+
+impl<'a> Active<'a> {
+    fn new(shared: &'a Shared) -> Self {
+        shared.active.set(shared.active.get() + 1);
+        Self(shared)
+    }
+}
+
+impl Drop for Active<'_> {
+    fn drop(&mut self) {
+        self.0.active.set(self.0.active.get() - 1);
+    }
+}
+
+/// Logs a request whose caller left before its answer.
+struct CallerWatch<'a> {
+    shared: &'a Shared,
+    id: String,
+    start: Instant,
+    answered: bool,
+}
+
+impl Drop for CallerWatch<'_> {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.shared.core.borrow_mut().metrics.abandoned += 1;
+            log::info!(
+                "event=request id={} outcome=abandoned ms={}",
+                self.id,
+                self.start.elapsed().as_millis()
+            );
+        }
+    }
+}
+
+/// Answers one request of a caller.
+pub(crate) async fn handle(
+    shared: Rc<Shared>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let _active = Active::new(&shared);
+    let start = Instant::now();
+    let id = request
+        .headers()
+        .get(&shared.dialect.headers.request_id)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("-")
+        .to_owned();
+    let mut watch = CallerWatch {
+        shared: &shared,
+        id,
+        start,
+        answered: false,
+    };
+    let table = shared.core.borrow().table.clone();
+    let version = table.as_ref().map_or(0, |table| table.version());
+    let route = table.as_deref().map(|table| find_route(table, &request));
+    let reply = match (&table, &route) {
+        (Some(table), Some(Ok(route))) => {
+            answer(&shared, table, route.clone(), request, start).await
+        }
+        (_, Some(Err(reason))) => Reply::rejected(StatusCode::NOT_FOUND, reason),
+        _ => Reply::not_run("no_configuration"),
+    };
+    watch.answered = true;
+    let route = match &route {
+        Some(Ok(route)) => &*route.name,
+        _ => "-",
+    };
+    let elapsed = start.elapsed();
+    log::info!(
+        "event=request id={} route={route} version={version} outcome={} status={} reason={} missing={} ms={}",
+        watch.id,
+        reply.outcome.as_str(),
+        reply.response.status().as_u16(),
+        reply.reason,
+        reply.missing,
+        elapsed.as_millis(),
+    );
+    let mut core = shared.core.borrow_mut();
+    core.metrics.record(route, elapsed, reply.outcome);
+    drop(core);
+    let mut response = reply.response;
+    if shared.draining.get() {
+        response
+            .headers_mut()
+            .insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response)
+}
+
+fn find_route(table: &RouteTable, request: &Request<Incoming>) -> Result<Arc<Route>, &'static str> {
+    let host = request
+        .headers()
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok())
+        .ok_or("no_host")?;
+    match table.find(host, request.uri().path()) {
+        Lookup::Route(route) => Ok(route),
+        Lookup::NoRoute => Err("no_route"),
+    }
+}
+
+async fn answer(
+    shared: &Rc<Shared>,
+    table: &RouteTable,
+    route: Arc<Route>,
+    request: Request<Incoming>,
+    start: Instant,
+) -> Reply {
+    let names = &shared.dialect.headers;
+    let Some(request_id) = request.headers().get(&names.request_id).cloned() else {
+        return Reply::rejected(StatusCode::BAD_REQUEST, "no_request_id");
+    };
+    let patience = millis(request.headers(), &names.deadline_ms).unwrap_or(route.timeout);
+    let time = patience.min(route.timeout).saturating_sub(WAY_BACK);
+    let (head, body) = request.into_parts();
+    let body = match Limited::new(body, table.limits().body_bytes)
+        .collect()
+        .await
+    {
+        Ok(body) => body.to_bytes(),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            return Reply::rejected(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large");
+        }
+        Err(error) => {
+            log::info!("event=request_cut id={request_id:?} reason=\"{error}\"");
+            return Reply::rejected(StatusCode::BAD_REQUEST, "body_cut");
+        }
+    };
+    let mut headers = head.headers;
+    strip_hop_by_hop(&mut headers);
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let Ok(uri) = path.parse() else {
+        return Reply::rejected(StatusCode::BAD_REQUEST, "path");
+    };
+    let print = RequestPrint::of_bytes(path.as_bytes(), &body);
+    let out = Rc::new(Outgoing {
+        method: head.method,
+        uri,
+        headers,
+        body,
+        request_id,
+        deadline: start + time,
+        fresh_connection: route.kind == cornelwinch_routing::RouteKind::NonIdempotent,
+    });
+    let shared = shared.clone();
+    match &route.target {
+        Target::Service(service) => {
+            let service = service.clone();
+            answer_single(shared, out, route, service, print).await
+        }
+        Target::Split(parts) => {
+            let service = shared.core.borrow_mut().next_of_split(&route, parts);
+            match service {
+                Some(service) => answer_single(shared, out, route, service, print).await,
+                None => Reply::not_run("no_weight"),
+            }
+        }
+        Target::Gather(plan) => {
+            let plan = plan.clone();
+            answer_scatter(shared, out, route, plan, print).await
+        }
+    }
+}
--- /dev/null
+++ b/crates/cornelwinch_relay/src/headers.rs
@@ -0,0 +1,65 @@
+use std::time::Duration;
+
+use hyper::HeaderMap;
+use hyper::header::{self, HeaderName, HeaderValue};
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 7] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::EXPECT,
+];
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
+
+/// Removes the headers that concern one connection, and the length, which the
+/// HTTP library sets from the body.
+pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let listed: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in listed.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+    headers.remove(KEEP_ALIVE);
+    headers.remove(PROXY_CONNECTION);
+    headers.remove(header::CONTENT_LENGTH);
+}
+
+/// Idle time that a peer announces, in whole seconds.
+pub(crate) fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    let seconds = value
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
+
+/// Reports whether a peer closes the connection after this message.
+pub(crate) fn is_closing(headers: &HeaderMap) -> bool {
+    headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .any(|token| token.trim().eq_ignore_ascii_case("close"))
+}
+
+/// A number of milliseconds in a header.
+pub(crate) fn millis(headers: &HeaderMap, name: &HeaderName) -> Option<Duration> {
+    let ms: f64 = headers.get(name)?.to_str().ok()?.trim().parse().ok()?;
+    (ms.is_finite() && ms >= 0.0).then(|| Duration::from_secs_f64(ms / 1_000.0))
+}
+
+/// Writes a number of milliseconds.
+pub(crate) fn millis_value(time: Duration) -> HeaderValue {
+    HeaderValue::from(u64::try_from(time.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/cornelwinch_relay/src/leg.rs
@@ -0,0 +1,241 @@
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use cornelwinch_routing::{Fleet, LegSign, UpstreamView};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::{self, HeaderValue};
+use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
+
+use crate::core::Shared;
+use crate::headers::{is_closing, keep_alive_timeout, millis, millis_value};
+
+/// Multiple of the usual time from which a leg that is given up says that its
+/// upstream is silent.
+const SILENT_RATIO: f64 = 3.0;
+
+/// Largest body of an upstream's answer in bytes.
+const ANSWER_BYTES: usize = 16 << 20;
+
+/// A caller's request, ready to be sent to upstreams.
+#[derive(Debug)]
+pub(crate) struct Outgoing {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    /// End-to-end headers as the caller sent them.
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) request_id: HeaderValue,
+    pub(crate) deadline: Instant,
+    /// A new connection is used, so that no earlier answer can arrive on it.
+    pub(crate) fresh_connection: bool,
+}
+
+/// The complete answer of the upstream that was named.
+#[derive(Debug)]
+pub(crate) struct UpstreamAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// How a leg ended.
+#[derive(Debug)]
+pub(crate) enum LegEnd {
+    /// The upstream ran the request and this is its answer.
+    Answer(UpstreamAnswer),
+    /// The upstream did not run the request and never will.
+    NotRun(&'static str),
+    /// The request may have run.
+    Lost(&'static str),
+    /// The request may have run, and the upstream closed the connection.
+    Disconnected,
+}
+
+/// Reports the end of a leg to the fleet, also where its future is dropped.
+struct Watched {
+    shared: Rc<Shared>,
+    upstream: UpstreamView,
+    token: u64,
+    sent: Instant,
+    typical: Duration,
+    reported: bool,
+}
+
+impl Watched {
+    fn report(&mut self, sign: LegSign) {
+        self.reported = true;
+        let mut core = self.shared.core.borrow_mut();
+        core.fleet
+            .leg_ended(Instant::now(), self.upstream.id, self.token, sign);
+    }
+
+    fn ratio(&self) -> f64 {
+        Fleet::ratio(self.sent.elapsed(), self.typical)
+    }
+}
+
+impl Drop for Watched {
+    fn drop(&mut self) {
+        if self.reported {
+            return;
+        }
+        let ratio = self.ratio();
+        self.report(if ratio >= SILENT_RATIO {
+            LegSign::Silent { ratio }
+        } else {
+            LegSign::Unknown
+        });
+    }
+}
+
+/// Sends the request to one upstream and collects its whole answer.
+pub(crate) async fn run_leg(
+    shared: Rc<Shared>,
+    out: Rc<Outgoing>,
+    upstream: UpstreamView,
+    typical: Duration,
+) -> LegEnd {
+    let token = shared.next_token();
+    let now = Instant::now();
+    let mut core = shared.core.borrow_mut();
+    core.fleet.leg_sent(now, upstream.id, token, typical);
+    drop(core);
+    let mut watched = Watched {
+        shared: shared.clone(),
+        upstream: upstream.clone(),
+        token,
+        sent: now,
+        typical,
+        reported: false,
+    };
+    let (end, sign) = exchange(&shared, &out, &upstream).await;
+    let sign = match sign {
+        Some(sign) => sign,
+        None => LegSign::Answered {
+            ratio: watched.ratio(),
+        },
+    };
+    watched.report(sign);
+    end
+}
+
+/// Returns how the leg ended and what it says of the upstream; `None` stands
+/// for a complete answer.
+async fn exchange(
+    shared: &Shared,
+    out: &Outgoing,
+    upstream: &UpstreamView,
+) -> (LegEnd, Option<LegSign>) {
+    let connection = match shared.pool.acquire(upstream, out.fresh_connection).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            log::debug!(
+                "event=connect_failed peer={} reason=\"{error}\"",
+                upstream.name
+            );
+            return (LegEnd::NotRun("connect"), Some(LegSign::Unreachable));
+        }
+    };
+    let is_new = connection.is_new;
+    let mut sender = connection.sender;
+    // The upstream may have left, or its zone been taken out, during the connect.
+    if !shared
+        .core
+        .borrow()
+        .fleet
+        .takes_requests(Instant::now(), upstream.id)
+    {
+        return (LegEnd::NotRun("left"), Some(LegSign::Unknown));
+    }
+    let Some(request) = build(shared, out, upstream) else {
+        return (LegEnd::NotRun("deadline"), Some(LegSign::Unknown));
+    };
+    shared.core.borrow_mut().metrics.legs += 1;
+    let response = match sender.try_send_request(request).await {
+        Ok(response) => response,
+        Err(mut error) => {
+            if error.take_message().is_some() {
+                return (LegEnd::NotRun("unsent"), Some(LegSign::Unknown));
+            }
+            // An idle connection that ends may have been closed for its age.
+            let sign = if is_new {
+                LegSign::Failed
+            } else {
+                LegSign::Unknown
+            };
+            log::debug!(
+                "event=leg_broken peer={} reason=\"{}\"",
+                upstream.name,
+                error.error()
+            );
+            return if error.error().is_parse() {
+                (LegEnd::Lost("malformed"), Some(LegSign::Failed))
+            } else {
+                (LegEnd::Disconnected, Some(sign))
+            };
+        }
+    };
+    let (head, body) = response.into_parts();
+    if let Some(left) = millis(&head.headers, &shared.dialect.headers.cold_ms) {
+        let mut core = shared.core.borrow_mut();
+        core.fleet.set_cold(Instant::now(), upstream.id, left);
+    }
+    let id_matches = head.headers.get(&shared.dialect.headers.request_id) == Some(&out.request_id);
+    let not_run = head
+        .headers
+        .contains_key(&shared.dialect.headers.not_executed)
+        || head.status == StatusCode::MISDIRECTED_REQUEST;
+    let names_other = head
+        .headers
+        .contains_key(&shared.dialect.headers.request_id)
+        && !id_matches;
+    if names_other || (head.status.is_success() && !id_matches) {
+        return (LegEnd::Lost("other_request"), Some(LegSign::Failed));
+    }
+    let body = match Limited::new(body, ANSWER_BYTES).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            log::debug!("event=answer_cut peer={} reason=\"{error}\"", upstream.name);
+            return (LegEnd::Lost("cut"), Some(LegSign::Failed));
+        }
+    };
+    if !is_closing(&head.headers) && !sender.is_closed() {
+        let keep_alive = keep_alive_timeout(&head.headers);
+        shared.pool.release(upstream.id, sender, keep_alive);
+    }
+    if not_run {
+        return (LegEnd::NotRun("refused"), Some(LegSign::Refused));
+    }
+    if !head.headers.contains_key(&shared.dialect.headers.stamp) {
+        return (LegEnd::Lost("unstamped"), Some(LegSign::Failed));
+    }
+    if head.headers.contains_key(header::CONTENT_ENCODING) {
+        return (LegEnd::Lost("encoded"), Some(LegSign::Failed));
+    }
+    let sign = head.status.is_server_error().then_some(LegSign::Failed);
+    let answer = UpstreamAnswer {
+        status: head.status,
+        headers: head.headers,
+        body,
+    };
+    (LegEnd::Answer(answer), sign)
+}
+
+/// Builds the request for one upstream; `None` if no time is left.
+fn build(shared: &Shared, out: &Outgoing, upstream: &UpstreamView) -> Option<Request<Full<Bytes>>> {
+    let left = out.deadline.saturating_duration_since(Instant::now());
+    if left < Duration::from_millis(1) {
+        return None;
+    }
+    let target = HeaderValue::from_str(&upstream.name).ok()?;
+    let mut request = Request::new(Full::new(out.body.clone()));
+    *request.method_mut() = out.method.clone();
+    *request.uri_mut() = out.uri.clone();
+    *request.headers_mut() = out.headers.clone();
+    let names = &shared.dialect.headers;
+    let headers = request.headers_mut();
+    headers.insert(names.deadline_ms.clone(), millis_value(left));
+    headers.insert(names.target.clone(), target);
+    Some(request)
+}
--- /dev/null
+++ b/crates/cornelwinch_relay/src/metrics.rs
@@ -0,0 +1,104 @@
+use std::fmt::Write;
+use std::time::Duration;
+
+use cornelwinch_types::{Name, SortedMap};
+use hdrhistogram::Histogram;
+
+use crate::answer::Outcome;
+
+const HISTOGRAM_LOW_US: u64 = 1;
+const HISTOGRAM_HIGH_US: u64 = 60_000_000;
+const HISTOGRAM_DIGITS: u8 = 2;
+
+/// Routes with a histogram of their own; further routes are counted together.
+const ROUTE_LIMIT: usize = 64;
+
+#[derive(Debug)]
+struct RouteSeries {
+    latency_us: Histogram<u64>,
+    outcomes: SortedMap<&'static str, u64>,
+}
+
+impl RouteSeries {
+    fn new() -> Self {
+        Self {
+            latency_us: Histogram::new_with_bounds(
+                HISTOGRAM_LOW_US,
+                HISTOGRAM_HIGH_US,
+                HISTOGRAM_DIGITS,
+            )
+            .expect("the bounds are valid"),
+            outcomes: SortedMap::new(),
+        }
+    }
+}
+
+/// Counters and histograms of a relay.
+#[derive(Debug, Default)]
+pub(crate) struct Metrics {
+    routes: SortedMap<Name, RouteSeries>,
+    pub(crate) legs: u64,
+    pub(crate) repeats: u64,
+    pub(crate) repeats_denied: u64,
+    pub(crate) abandoned: u64,
+    pub(crate) store_calls: u64,
+    pub(crate) store_failures: u64,
+}
+
+impl Metrics {
+    /// Records the end of a request.
+    pub(crate) fn record(&mut self, route: &str, latency: Duration, outcome: Outcome) {
+        let is_known = self.routes.contains_key(route);
+        let name = if is_known || self.routes.len() < ROUTE_LIMIT {
+            route
+        } else {
+            "other"
+        };
+        let series = self
+            .routes
+            .get_or_insert_with(name.into(), RouteSeries::new);
+        let micros = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
+        series.latency_us.saturating_record(micros);
+        *series.outcomes.get_or_insert_with(outcome.as_str(), || 0) += 1;
+    }
+
+    /// Writes all values as text, one a line.
+    pub(crate) fn to_text(&self) -> String {
+        let mut text = String::new();
+        let counters = [
+            ("legs_total", self.legs),
+            ("repeats_total", self.repeats),
+            ("repeats_denied_total", self.repeats_denied),
+            ("requests_abandoned_total", self.abandoned),
+            ("store_calls_total", self.store_calls),
+            ("store_failures_total", self.store_failures),
+        ];
+        for (name, value) in counters {
+            push_line(&mut text, format_args!("cornelwinch_{name} {value}"));
+        }
+        for (route, series) in self.routes.iter() {
+            for (outcome, count) in series.outcomes.iter() {
+                push_line(
+                    &mut text,
+                    format_args!(
+                        "cornelwinch_requests_total{{route=\"{route}\",outcome=\"{outcome}\"}} {count}"
+                    ),
+                );
+            }
+            for quantile in [0.5, 0.9, 0.99, 0.999] {
+                let ms = series.latency_us.value_at_quantile(quantile) as f64 / 1_000.0;
+                push_line(
+                    &mut text,
+                    format_args!(
+                        "cornelwinch_latency_ms{{route=\"{route}\",quantile=\"{quantile}\"}} {ms}"
+                    ),
+                );
+            }
+        }
+        text
+    }
+}
+
+fn push_line(text: &mut String, line: std::fmt::Arguments<'_>) {
+    writeln!(text, "{line}").expect("writing to a string does not fail");
+}
--- /dev/null
+++ b/crates/cornelwinch_relay/src/operator.rs
@@ -0,0 +1,83 @@
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+use crate::core::Shared;
+
+type Answer = fn(&Shared, &Request<Incoming>) -> Response<Full<Bytes>>;
+
+/// Serves one listener whose answers need no waiting.
+pub(crate) async fn serve_simple(shared: Rc<Shared>, listener: TcpListener, answer: Answer) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("event=accept_failed reason=\"{error}\"");
+                tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        let shared = shared.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |request: Request<Incoming>| {
+                let response = answer(&shared, &request);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                log::debug!("event=operator_connection_ended reason=\"{error}\"");
+            }
+        });
+    }
+}
+
+/// Answers the balancer's readiness check.
+pub(crate) fn answer_readiness(shared: &Shared, _: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let is_ready = is_ready(shared);
+    let mut response = Response::new(Full::default());
+    if !is_ready {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
+
+/// Answers with metrics, or the state of the host at `/state`.
+pub(crate) fn answer_metrics(
+    shared: &Shared,
+    request: &Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let core = shared.core.borrow();
+    let text = if request.uri().path() == "/state" {
+        let version = core.table.as_ref().map_or(0, |table| table.version());
+        let mut text = format!(
+            "version={version} hosts={} draining={} active={} evacuated={:?}\n",
+            core.host_count(),
+            shared.draining.get(),
+            shared.active.get(),
+            core.fleet.evacuated(),
+        );
+        for line in core.fleet.describe(Instant::now()) {
+            text.push_str(&line);
+            text.push('\n');
+        }
+        text
+    } else {
+        core.metrics.to_text()
+    };
+    Response::new(Full::new(Bytes::from(text)))
+}
+
+/// Reports whether this host should get new connections of callers.
+fn is_ready(shared: &Shared) -> bool {
+    let core = shared.core.borrow();
+    !shared.draining.get() && core.table.is_some() && !core.fleet.is_empty()
+}
--- /dev/null
+++ b/crates/cornelwinch_relay/src/relay.rs
@@ -0,0 +1,208 @@
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use snafu::ResultExt;
+use socket2::{Domain, Protocol, Socket, Type};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+use tokio::time::{interval, sleep};
+
+use crate::callers::serve_callers;
+use crate::core::Shared;
+use crate::dialect::{Dialect, Kind};
+use crate::error::{BindSnafu, ProcessSnafu, RelayError};
+use crate::logging::{FLUSH_EVERY, LogHandle};
+use crate::operator::{answer_metrics, answer_readiness, serve_simple};
+use crate::settings::RelaySettings;
+use crate::sync::{StoreCondition, follow, follow_hosts};
+
+/// Connections that wait to be accepted.
+const BACKLOG: i32 = 1_024;
+
+/// Time between two clean-ups of what is no longer used.
+const TIDY_EVERY: Duration = Duration::from_millis(500);
+
+/// Share of the grace time for which idle connections of callers stay open, so
+/// that a request on its way is still read.
+const LINGER_SHARE: f64 = 0.6;
+
+/// Share of the grace time after which the process ends although requests are
+/// unanswered.
+const STOP_SHARE: f64 = 0.95;
+
+/// Time between two looks at the requests that are left while stopping.
+const STOP_POLL: Duration = Duration::from_millis(20);
+
+/// Time for the last answer to leave the socket.
+const LAST_WRITE: Duration = Duration::from_millis(50);
+
+/// A relay that runs on the current [`LocalSet`].
+#[derive(Debug, Clone)]
+pub struct Relay {
+    shared: Rc<Shared>,
+    close_idle: Rc<watch::Sender<bool>>,
+}
+
+/// Binds the addresses of the settings and starts the tasks of a relay on the
+/// current [`LocalSet`].
+///
+/// # Errors
+///
+/// Fails if an address cannot be bound.
+///
+/// # Panics
+///
+/// Panics outside a `LocalSet`.
+pub fn spawn(settings: RelaySettings, dialect: Dialect) -> Result<Relay, RelayError> {
+    let callers = listen(settings.caller)?;
+    let readiness = listen(settings.readiness)?;
+    let metrics = listen(settings.metrics)?;
+    let shared = Rc::new(Shared::new(settings, dialect));
+    let (close_idle, closing) = watch::channel(false);
+    let condition = Rc::new(StoreCondition::default());
+    for kind in [Kind::DesiredState, Kind::Upstreams, Kind::Evacuations] {
+        tokio::task::spawn_local(follow(shared.clone(), condition.clone(), kind));
+    }
+    tokio::task::spawn_local(follow_hosts(shared.clone()));
+    tokio::task::spawn_local(serve_callers(shared.clone(), callers, closing));
+    tokio::task::spawn_local(serve_simple(shared.clone(), readiness, answer_readiness));
+    tokio::task::spawn_local(serve_simple(shared.clone(), metrics, answer_metrics));
+    tokio::task::spawn_local(tidy(shared.clone()));
+    Ok(Relay {
+        shared,
+        close_idle: Rc::new(close_idle),
+    })
+}
+
+impl Relay {
+    /// Stops taking new work and waits until all requests are answered, at most
+    /// for the grace time of the settings.
+    pub async fn stop(&self) {
+        let start = Instant::now();
+        let grace = self.shared.settings.borrow().bounds.grace();
+        self.shared.draining.set(true);
+        log::info!(
+            "event=stopping active={} grace_ms={}",
+            self.shared.active.get(),
+            grace.as_millis()
+        );
+        sleep(grace.mul_f64(LINGER_SHARE)).await;
+        // The relay's own tasks hold a receiver for as long as it runs.
+        let _ = self.close_idle.send(true);
+        while self.shared.active.get() > 0 && start.elapsed() < grace.mul_f64(STOP_SHARE) {
+            sleep(STOP_POLL).await;
+        }
+        sleep(LAST_WRITE).await;
+        log::info!(
+            "event=stopped cut={} ms={}",
+            self.shared.active.get(),
+            start.elapsed().as_millis()
+        );
+    }
+
+    /// Takes over settings that may change while the process runs: the bounds.
+    pub fn reload(&self, settings: &RelaySettings) {
+        let mut current = self.shared.settings.borrow_mut();
+        if current.bounds != settings.bounds {
+            log::info!("event=bounds_changed bounds={:?}", settings.bounds);
+            current.bounds = settings.bounds;
+        }
+    }
+}
+
+async fn tidy(shared: Rc<Shared>) {
+    let mut ticks = interval(TIDY_EVERY);
+    loop {
+        ticks.tick().await;
+        let now = Instant::now();
+        let share = shared.budget_share();
+        let lapsed = {
+            let mut core = shared.core.borrow_mut();
+            core.budget.prune(now, &share);
+            core.fleet.remove_lapsed(now)
+        };
+        for id in lapsed {
+            log::info!("event=upstream_lapsed upstream_id={}", id.get());
+            shared.pool.close(id);
+        }
+        shared.pool.prune();
+    }
+}
+
+fn listen(addr: SocketAddr) -> Result<TcpListener, RelayError> {
+    let bind = || {
+        let socket = Socket::new(Domain::for_address(addr), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&addr.into())?;
+        socket.listen(BACKLOG)?;
+        socket.set_nonblocking(true)?;
+        TcpListener::from_std(socket.into())
+    };
+    bind().context(BindSnafu { addr })
+}
+
+/// Runs a relay on this thread until SIGTERM has stopped it.
+///
+/// `read_settings` is called after SIGHUP.
+///
+/// # Errors
+///
+/// Fails if the event loop or a signal handler cannot be made, or an address
+/// cannot be bound.
+pub fn run_until_signal(
+    settings: RelaySettings,
+    dialect: Dialect,
+    log: &LogHandle,
+    read_settings: impl Fn() -> Result<RelaySettings, RelayError>,
+) -> Result<(), RelayError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(ProcessSnafu {
+            step: "build_runtime",
+        })?;
+    let local = LocalSet::new();
+    let result = local.block_on(&runtime, async {
+        let install = |kind| {
+            signal(kind).context(ProcessSnafu {
+                step: "install_signal_handler",
+            })
+        };
+        let mut terminate = install(SignalKind::terminate())?;
+        let mut hangup = install(SignalKind::hangup())?;
+        let buffer = log.0.clone();
+        tokio::task::spawn_local(async move {
+            let mut ticks = interval(FLUSH_EVERY);
+            loop {
+                ticks.tick().await;
+                buffer.flush();
+            }
+        });
+        log::info!(
+            "event=started zone={} caller={} store={}",
+            settings.zone,
+            settings.caller,
+            settings.store
+        );
+        let relay = spawn(settings, dialect)?;
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = hangup.recv() => match read_settings() {
+                    Ok(settings) => {
+                        log::info!("event=settings_read");
+                        relay.reload(&settings);
+                    }
+                    Err(error) => log::warn!("event=settings_kept {error}"),
+                },
+            }
+        }
+        relay.stop().await;
+        Ok(())
+    });
+    log.0.flush();
+    result
+}
--- /dev/null
+++ b/crates/cornelwinch_relay/src/scatter.rs
@@ -0,0 +1,167 @@
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use cornelwinch_routing::{GatherPlan, PartMerge, RequestPrint, Route};
+use futures_util::StreamExt;
+use futures_util::future::LocalBoxFuture;
+use futures_util::stream::FuturesUnordered;
+use http_body_util::Full;
+use hyper::Response;
+use hyper::header::HeaderValue;
+use tokio::time::{sleep_until, timeout};
+
+use crate::answer::Reply;
+use crate::core::Shared;
+use crate::fetch::{FetchEnd, FetchPlan, fetch};
+use crate::leg::Outgoing;
+
+/// Share of the goal after which an answer without all parts is returned.
+const ANSWER_SHARE: f64 = 0.8;
+
+/// Share of the goal after which a second upstream of a shard gets the request.
+const HEDGE_SHARE: f64 = 0.3;
+
+/// Multiple of the usual leg time before which no second leg starts.
+const HEDGE_TYPICAL: f64 = 2.0;
+
+/// Time for which legs of an answered request may end by themselves.
+const LINGER: Duration = Duration::from_millis(400);
+
+struct Gathering {
+    merge: PartMerge,
+    stamps: Vec<HeaderValue>,
+    total: usize,
+    least: usize,
+    /// Shards that can no longer answer.
+    failed: usize,
+    /// Some upstream may have run the request.
+    ran: bool,
+    reason: &'static str,
+}
+
+/// Answers a request with the parts of many shards.
+pub(crate) async fn answer_scatter(
+    shared: Rc<Shared>,
+    out: Rc<Outgoing>,
+    route: Arc<Route>,
+    plan: GatherPlan,
+    print: RequestPrint,
+) -> Reply {
+    let arrived = Instant::now();
+    for shard in &plan.shards {
+        shared.count_request(shard);
+    }
+    let mut gathering = Gathering::new(&plan);
+    let typical = shared.core.borrow().typical(&route);
+    let hedge_after = route
+        .goal
+        .mul_f64(HEDGE_SHARE)
+        .max(typical.mul_f64(HEDGE_TYPICAL));
+    let mut fetches: FuturesUnordered<LocalBoxFuture<'static, FetchEnd>> = plan
+        .shards
+        .iter()
+        .map(|shard| {
+            let plan = FetchPlan {
+                route: route.clone(),
+                service: shard.clone(),
+                idempotent: true,
+                hedge_after: Some(hedge_after),
+                print,
+            };
+            let future: LocalBoxFuture<_> = Box::pin(fetch(shared.clone(), out.clone(), plan));
+            future
+        })
+        .collect();
+    let early = arrived + route.goal.mul_f64(ANSWER_SHARE);
+    let mut alarm = pin!(sleep_until(early.min(out.deadline).into()));
+    let mut is_due = false;
+    while !gathering.is_over(is_due) {
+        tokio::select! {
+            biased;
+            Some(end) = fetches.next() => gathering.add(&shared, end),
+            () = &mut alarm => {
+                if is_due || Instant::now() >= out.deadline {
+                    return gathering.finish(&shared, &out, true);
+                }
+                is_due = true;
+                alarm.as_mut().reset(out.deadline.into());
+            }
+        }
+    }
+    if gathering.is_success() && !fetches.is_empty() {
+        tokio::task::spawn_local(timeout(
+            LINGER,
+            fetches.for_each(|_| std::future::ready(())),
+        ));
+    }
+    gathering.finish(&shared, &out, false)
+}
+
+impl Gathering {
+    fn new(plan: &GatherPlan) -> Self {
+        Self {
+            merge: PartMerge::new(plan.top),
+            stamps: Vec::with_capacity(plan.shards.len()),
+            total: plan.shards.len(),
+            least: plan.least_parts(),
+            failed: 0,
+            ran: false,
+            reason: "-",
+        }
+    }
+
+    fn add(&mut self, shared: &Shared, end: FetchEnd) {
+        match end {
+            FetchEnd::Answer(answer) if answer.status.is_success() => {
+                let stamp = answer.headers.get(&shared.dialect.headers.stamp);
+                // A leg without a stamp does not end with an answer.
+                let stamp = stamp.expect("answers carry a stamp").clone();
+                self.ran = true;
+                self.stamps.push(stamp);
+                self.merge.add(&answer.body);
+            }
+            FetchEnd::Answer(_) => self.fail("upstream_failure", true),
+            FetchEnd::NotRun(reason) => self.fail(reason, false),
+            FetchEnd::Lost(reason) => self.fail(reason, true),
+        }
+    }
+
+    fn fail(&mut self, reason: &'static str, ran: bool) {
+        self.failed += 1;
+        self.ran |= ran;
+        self.reason = reason;
+    }
+
+    fn is_success(&self) -> bool {
+        self.stamps.len() >= self.least
+    }
+
+    /// Reports whether the answer can be given now.
+    fn is_over(&self, is_due: bool) -> bool {
+        let open = self.total - self.failed - self.stamps.len();
+        open == 0 || self.stamps.len() + open < self.least || (is_due && self.is_success())
+    }
+
+    fn finish(self, shared: &Shared, out: &Outgoing, timed_out: bool) -> Reply {
+        if !self.is_success() {
+            return match (timed_out, self.ran) {
+                (true, _) => Reply::timed_out(),
+                (false, true) => Reply::unknown(self.reason),
+                (false, false) => Reply::not_run(self.reason),
+            };
+        }
+        let missing = self.total - self.stamps.len();
+        let names = &shared.dialect.headers;
+        let mut response = Response::new(Full::new(Bytes::from(self.merge.finish())));
+        let headers = response.headers_mut();
+        headers.insert(names.request_id.clone(), out.request_id.clone());
+        headers.insert(names.missing_parts.clone(), HeaderValue::from(missing));
+        for stamp in self.stamps {
+            headers.append(names.part_stamps.clone(), stamp);
+        }
+        Reply::gathered(response, missing)
+    }
+}
--- /dev/null
+++ b/crates/cornelwinch_relay/src/single.rs
@@ -0,0 +1,52 @@
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cornelwinch_routing::{RequestPrint, Route, RouteKind};
+use cornelwinch_types::Name;
+use tokio::time::timeout_at;
+
+use crate::answer::Reply;
+use crate::core::Shared;
+use crate::fetch::{FetchEnd, FetchPlan, fetch};
+use crate::leg::Outgoing;
+
+/// Share of the goal after which a second upstream gets an idempotent request.
+const HEDGE_SHARE: f64 = 0.4;
+
+/// Multiple of the usual leg time before which no second leg starts.
+const HEDGE_TYPICAL: f64 = 2.0;
+
+/// Answers a request that goes to one upstream of a service.
+pub(crate) async fn answer_single(
+    shared: Rc<Shared>,
+    out: Rc<Outgoing>,
+    route: Arc<Route>,
+    service: Name,
+    print: RequestPrint,
+) -> Reply {
+    shared.count_request(&service);
+    let idempotent = route.kind == RouteKind::Idempotent;
+    let typical = shared.core.borrow().typical(&route);
+    let plan = FetchPlan {
+        hedge_after: idempotent.then(|| hedge_after(&route, typical)),
+        route,
+        service,
+        idempotent,
+        print,
+    };
+    let deadline = out.deadline;
+    match timeout_at(deadline.into(), fetch(shared, out, plan)).await {
+        Ok(FetchEnd::Answer(answer)) => Reply::relayed(answer),
+        Ok(FetchEnd::NotRun(reason)) => Reply::not_run(reason),
+        Ok(FetchEnd::Lost(reason)) => Reply::unknown(reason),
+        Err(_) => Reply::timed_out(),
+    }
+}
+
+fn hedge_after(route: &Route, typical: Duration) -> Duration {
+    route
+        .goal
+        .mul_f64(HEDGE_SHARE)
+        .max(typical.mul_f64(HEDGE_TYPICAL))
+}
--- /dev/null
+++ b/crates/cornelwinch_relay/src/store.rs
@@ -0,0 +1,138 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{self, HeaderValue};
+use hyper::{Method, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use snafu::Snafu;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::WriteCall;
+
+/// Longest wait for a connection to the store.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// A call to the store that brought no usable answer.
+#[derive(Debug, Snafu)]
+pub(crate) enum StoreError {
+    /// No connection could be made.
+    #[snafu(display("step=connect reason=\"{source}\""))]
+    Connect { source: std::io::Error },
+    /// The connection broke.
+    #[snafu(display("step=call reason=\"{source}\""))]
+    Call { source: hyper::Error },
+    /// No answer came in time.
+    #[snafu(display("step=call reason=timeout"))]
+    Timeout,
+    /// The store answered with another status than success.
+    #[snafu(display("step=call status={status}"))]
+    Status { status: StatusCode },
+    /// The answer cannot be read.
+    #[snafu(display("step=decode reason={reason:?}"))]
+    Decode { reason: String },
+}
+
+/// One connection to the store, made anew after each failure.
+#[derive(Debug)]
+pub(crate) struct StoreClient {
+    addr: SocketAddr,
+    sender: Option<SendRequest<Full<Bytes>>>,
+}
+
+impl StoreClient {
+    pub(crate) fn new(addr: SocketAddr) -> Self {
+        Self { addr, sender: None }
+    }
+
+    /// Reads a path.
+    pub(crate) async fn get(&mut self, path: &str, wait: Duration) -> Result<Bytes, StoreError> {
+        self.call(Method::GET, path, Vec::new(), wait).await
+    }
+
+    /// Makes a call that changes the store.
+    pub(crate) async fn write(
+        &mut self,
+        call: WriteCall,
+        wait: Duration,
+    ) -> Result<Bytes, StoreError> {
+        self.call(call.method, &call.path, call.body, wait).await
+    }
+
+    async fn call(
+        &mut self,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        wait: Duration,
+    ) -> Result<Bytes, StoreError> {
+        let mut request = Request::new(Full::new(Bytes::from(body)));
+        *request.method_mut() = method;
+        *request.uri_mut() = path
+            .parse()
+            .map_err(|error: hyper::http::uri::InvalidUri| StoreError::Decode {
+                reason: error.to_string(),
+            })?;
+        let host = HeaderValue::from_str(&self.addr.to_string()).expect("addresses are valid");
+        let headers = request.headers_mut();
+        headers.insert(header::HOST, host);
+        headers.insert(
+            header::CONTENT_TYPE,
+            HeaderValue::from_static("application/json"),
+        );
+        let result = timeout(wait, self.exchange(request)).await;
+        let (status, body) = match result {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(error)) => {
+                self.sender = None;
+                return Err(error);
+            }
+            Err(_) => {
+                self.sender = None;
+                return Err(StoreError::Timeout);
+            }
+        };
+        if !status.is_success() {
+            return Err(StoreError::Status { status });
+        }
+        Ok(body)
+    }
+
+    async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(StatusCode, Bytes), StoreError> {
+        let mut sender = match self.sender.take() {
+            Some(sender) if !sender.is_closed() => sender,
+            _ => self.connect().await?,
+        };
+        let call = |source| StoreError::Call { source };
+        sender.ready().await.map_err(call)?;
+        let response = sender.send_request(request).await.map_err(call)?;
+        let status = response.status();
+        let body = response.into_body().collect().await.map_err(call)?;
+        self.sender = Some(sender);
+        Ok((status, body.to_bytes()))
+    }
+
+    async fn connect(&self) -> Result<SendRequest<Full<Bytes>>, StoreError> {
+        let fail = |source| StoreError::Connect { source };
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.addr))
+            .await
+            .map_err(|_| fail(std::io::ErrorKind::TimedOut.into()))?
+            .map_err(fail)?;
+        stream.set_nodelay(true).map_err(fail)?;
+        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|source| StoreError::Call { source })?;
+        tokio::task::spawn_local(async move {
+            if let Err(error) = driver.await {
+                log::debug!("event=store_connection_ended reason=\"{error}\"");
+            }
+        });
+        Ok(sender)
+    }
+}
--- /dev/null
+++ b/crates/cornelwinch_routing/src/budget.rs
@@ -0,0 +1,138 @@
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use cornelwinch_types::{Name, SortedMap};
+
+/// Slots into which the window is divided.
+const SLOTS_PER_WINDOW: u32 = 40;
+
+/// Share of the proportional allowance that is spent. Hosts count in windows of
+/// their own, and requests that callers sent but that never arrived are unknown.
+const RATIO_MARGIN: f64 = 0.9;
+
+/// One host's part of a bound on repeats that all hosts share.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BudgetShare {
+    /// Repeats allowed for each request of the window.
+    pub ratio: f64,
+    /// Length of the sliding window.
+    pub window: Duration,
+    /// Repeats that all hosts together may send beyond the ratio.
+    pub slack: f64,
+    /// Number of hosts that divide the slack.
+    pub hosts: usize,
+}
+
+#[derive(Debug, Default, Clone, Copy)]
+struct Slot {
+    index: u64,
+    requests: u32,
+    repeats: u32,
+}
+
+#[derive(Debug, Default)]
+struct Usage {
+    slots: VecDeque<Slot>,
+}
+
+/// Bounds repeats to each service in every sliding window.
+///
+/// Each host spends the ratio of its own requests and an equal part of the slack,
+/// so that the sum over hosts keeps the bound without any message. A process
+/// that has just started has no slack for one window, since its predecessor may
+/// have spent it.
+///
+/// ```
+/// use std::time::{Duration, Instant};
+/// use cornelwinch_routing::{BudgetShare, RetryBudget};
+///
+/// let start = Instant::now();
+/// let share = BudgetShare { ratio: 0.2, window: Duration::from_secs(10), slack: 10.0, hosts: 5 };
+/// let mut budget = RetryBudget::new(start);
+/// let now = start + Duration::from_secs(11);
+/// assert!(budget.spend(now, &share, &"shard-1".into()));
+/// assert!(budget.spend(now, &share, &"shard-1".into()));
+/// assert!(!budget.spend(now, &share, &"shard-1".into()));
+/// ```
+#[derive(Debug)]
+pub struct RetryBudget {
+    start: Instant,
+    services: SortedMap<Name, Usage>,
+}
+
+impl RetryBudget {
+    /// Makes a budget of a process that starts now.
+    pub fn new(start: Instant) -> Self {
+        Self {
+            start,
+            services: SortedMap::new(),
+        }
+    }
+
+    /// Counts a caller's request to a service.
+    pub fn count_request(&mut self, now: Instant, share: &BudgetShare, service: &Name) {
+        self.slot(now, share, service).requests += 1;
+    }
+
+    /// Counts one repeat and returns true if the window has room for it.
+    pub fn spend(&mut self, now: Instant, share: &BudgetShare, service: &Name) -> bool {
+        let settled = now.saturating_duration_since(self.start) >= share.window;
+        let slack = if settled {
+            (share.slack / share.hosts.max(1) as f64).floor()
+        } else {
+            0.0
+        };
+        self.slot(now, share, service);
+        let usage = self.services.get_mut(service).expect("slot() made it");
+        let (mut requests, mut repeats) = (0_u64, 0_u64);
+        for slot in &usage.slots {
+            requests += u64::from(slot.requests);
+            repeats += u64::from(slot.repeats);
+        }
+        let allowed = requests as f64 * share.ratio * RATIO_MARGIN + slack;
+        let granted = (repeats + 1) as f64 <= allowed;
+        if granted && let Some(slot) = usage.slots.back_mut() {
+            slot.repeats += 1;
+        }
+        granted
+    }
+
+    /// Drops services that no request used for a window.
+    pub fn prune(&mut self, now: Instant, share: &BudgetShare) {
+        let index = self.index(now, share);
+        self.services.retain(|_, usage| {
+            usage
+                .slots
+                .back()
+                .is_some_and(|slot| slot.index + u64::from(SLOTS_PER_WINDOW) >= index)
+        });
+    }
+
+    fn index(&self, now: Instant, share: &BudgetShare) -> u64 {
+        let slot = (share.window / SLOTS_PER_WINDOW).max(Duration::from_millis(1));
+        let elapsed = now.saturating_duration_since(self.start).as_nanos() / slot.as_nanos();
+        u64::try_from(elapsed).unwrap_or(u64::MAX)
+    }
+
+    fn slot(&mut self, now: Instant, share: &BudgetShare, service: &Name) -> &mut Slot {
+        let index = self.index(now, share);
+        let usage = self
+            .services
+            .get_or_insert_with(service.clone(), Usage::default);
+        // The slot that ends inside the window still counts in full.
+        while usage
+            .slots
+            .front()
+            .is_some_and(|slot| slot.index + u64::from(SLOTS_PER_WINDOW) < index)
+        {
+            usage.slots.pop_front();
+        }
+        if usage.slots.back().is_none_or(|slot| slot.index < index) {
+            usage.slots.push_back(Slot {
+                index,
+                ..Slot::default()
+            });
+        }
+        usage.slots.back_mut().expect("it was just pushed")
+    }
+}
--- /dev/null
+++ b/crates/cornelwinch_routing/src/cold.rs
@@ -0,0 +1,44 @@
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Bounds the requests that this host sends to one cold upstream in any second.
+///
+/// ```
+/// use std::time::Instant;
+/// use cornelwinch_routing::ColdRate;
+///
+/// let now = Instant::now();
+/// let mut rate = ColdRate::default();
+/// assert!(rate.take(now, 1));
+/// assert!(!rate.take(now, 1));
+/// ```
+#[derive(Debug, Default, Clone)]
+pub struct ColdRate {
+    sent: VecDeque<Instant>,
+}
+
+impl ColdRate {
+    /// Counts a request and returns true if fewer than `limit` were sent within
+    /// the last second.
+    pub fn take(&mut self, now: Instant, limit: usize) -> bool {
+        let has_room = self.has_room(now, limit);
+        if has_room {
+            self.sent.push_back(now);
+        }
+        has_room
+    }
+
+    /// Reports whether [`take`](Self::take) would return true.
+    pub fn has_room(&mut self, now: Instant, limit: usize) -> bool {
+        while self
+            .sent
+            .front()
+            .is_some_and(|at| now.saturating_duration_since(*at) > SECOND)
+        {
+            self.sent.pop_front();
+        }
+        self.sent.len() < limit
+    }
+}
--- /dev/null
+++ b/crates/cornelwinch_routing/src/crashes.rs
@@ -0,0 +1,82 @@
+use std::time::{Duration, Instant};
+
+use cornelwinch_types::{Fingerprint, SortedMap};
+
+/// Disconnects on different upstreams after which a request is taken for the
+/// cause of their crashes.
+const CRASHES_PER_MARK: usize = 2;
+
+/// Time after which a disconnect or mark is forgotten.
+const MEMORY: Duration = Duration::from_secs(60);
+
+/// Largest number of requests that are remembered.
+const REQUEST_LIMIT: usize = 4_096;
+
+/// Identity of a request across attempts: its path and body.
+pub type RequestPrint = Fingerprint;
+
+#[derive(Debug)]
+struct Suspect {
+    /// Upstreams that the request broke, by a hash of their identity.
+    upstreams: Vec<u64>,
+    last: Instant,
+}
+
+/// Requests that crash the upstreams that run them.
+///
+/// ```
+/// use std::time::Instant;
+/// use cornelwinch_routing::{CrashMarks, RequestPrint};
+///
+/// let now = Instant::now();
+/// let print = RequestPrint::of("/titles/", "");
+/// let mut marks = CrashMarks::default();
+/// assert!(!marks.record_disconnect(now, print, 1));
+/// assert!(marks.record_disconnect(now, print, 2));
+/// assert!(marks.is_marked(now, print));
+/// ```
+#[derive(Debug, Default)]
+pub struct CrashMarks {
+    suspects: SortedMap<RequestPrint, Suspect>,
+}
+
+impl CrashMarks {
+    /// Records that an upstream closed a connection on which the request ran.
+    /// Returns true if the request is now marked for the first time.
+    pub fn record_disconnect(&mut self, now: Instant, print: RequestPrint, upstream: u64) -> bool {
+        if self.suspects.len() >= REQUEST_LIMIT {
+            self.suspects
+                .retain(|_, s| now.saturating_duration_since(s.last) < MEMORY);
+            if self.suspects.len() >= REQUEST_LIMIT {
+                return false;
+            }
+        }
+        let suspect = self.suspects.get_or_insert_with(print, || Suspect {
+            upstreams: Vec::new(),
+            last: now,
+        });
+        if now.saturating_duration_since(suspect.last) >= MEMORY {
+            suspect.upstreams.clear();
+        }
+        suspect.last = now;
+        if suspect.upstreams.contains(&upstream) || suspect.upstreams.len() >= CRASHES_PER_MARK {
+            return false;
+        }
+        suspect.upstreams.push(upstream);
+        suspect.upstreams.len() == CRASHES_PER_MARK
+    }
+
+    /// Forgets the disconnects of a request that was answered.
+    pub fn record_answer(&mut self, print: RequestPrint) {
+        if !self.suspects.is_empty() {
+            self.suspects.remove(&print);
+        }
+    }
+
+    /// Reports whether the request must not be sent again.
+    pub fn is_marked(&self, now: Instant, print: RequestPrint) -> bool {
+        self.suspects.get(&print).is_some_and(|s| {
+            s.upstreams.len() >= CRASHES_PER_MARK && now.saturating_duration_since(s.last) < MEMORY
+        })
+    }
+}
--- /dev/null
+++ b/crates/cornelwinch_routing/src/fleet.rs
@@ -0,0 +1,357 @@
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use cornelwinch_types::{Name, SortedMap};
+
+use crate::health::ratio;
+use crate::{ColdRate, Health, LegSign};
+
+/// Added to the score of an upstream in another zone, in usual leg times: the
+/// longer way and the price of bytes between zones.
+const OTHER_ZONE_PENALTY: f64 = 0.5;
+
+/// Scores that differ by less than this share are equal; a random choice among
+/// them keeps hosts from moving in step.
+const SCORE_JITTER: f64 = 0.1;
+
+/// Identity of one start of an upstream, within this process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct UpstreamId(u64);
+
+impl UpstreamId {
+    /// The number behind the identity, for logs.
+    pub fn get(self) -> u64 {
+        self.0
+    }
+}
+
+/// What an upstream says of its readiness.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UpstreamState {
+    /// It takes requests.
+    Ready,
+    /// It finishes what it has and leaves.
+    Draining,
+}
+
+/// One upstream as it registered itself.
+#[derive(Debug, Clone, PartialEq)]
+pub struct UpstreamEntry {
+    /// Name under which it is registered.
+    pub name: Name,
+    /// Unix time in milliseconds of its start; tells two starts under one name
+    /// apart.
+    pub born_ms: u64,
+    /// Service to which it belongs.
+    pub service: Name,
+    /// Address that takes requests.
+    pub addr: SocketAddr,
+    /// Availability zone.
+    pub zone: Name,
+    /// Readiness.
+    pub state: UpstreamState,
+    /// How much longer it is cold.
+    pub cold_left: Duration,
+}
+
+/// The upstream that was chosen for a leg.
+#[derive(Debug, Clone, PartialEq)]
+pub struct UpstreamView {
+    /// Identity of this start.
+    pub id: UpstreamId,
+    /// Registered name.
+    pub name: Name,
+    /// Address that takes requests.
+    pub addr: SocketAddr,
+}
+
+#[derive(Debug)]
+struct Upstream {
+    entry: UpstreamEntry,
+    health: Health,
+    cold_until: Option<Instant>,
+    cold_rate: ColdRate,
+    /// End of the use of an entry that a list after an outage lacks.
+    missing_until: Option<Instant>,
+}
+
+/// All upstreams that this host knows, with what it has seen of them.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    last_id: u64,
+    upstreams: SortedMap<UpstreamId, Upstream>,
+    /// The present start of each registered name.
+    names: SortedMap<Name, UpstreamId>,
+    services: SortedMap<Name, Vec<UpstreamId>>,
+    evacuated: Vec<Name>,
+}
+
+impl Fleet {
+    /// Makes an empty fleet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Number of upstreams.
+    pub fn len(&self) -> usize {
+        self.upstreams.len()
+    }
+
+    /// Reports whether no upstream is known.
+    pub fn is_empty(&self) -> bool {
+        self.upstreams.is_empty()
+    }
+
+    /// Sets the zones whose upstreams get nothing.
+    pub fn set_evacuated(&mut self, mut zones: Vec<Name>) {
+        zones.sort();
+        self.evacuated = zones;
+    }
+
+    /// Zones whose upstreams get nothing, in order.
+    pub fn evacuated(&self) -> &[Name] {
+        &self.evacuated
+    }
+
+    /// Adds or changes an upstream. Returns the identity of an earlier start that
+    /// the entry replaces.
+    pub fn apply(&mut self, now: Instant, entry: UpstreamEntry) -> Option<UpstreamId> {
+        let cold_until = (!entry.cold_left.is_zero()).then(|| now + entry.cold_left);
+        let known = self.names.get(&entry.name).copied();
+        if let Some(id) = known
+            && let Some(upstream) = self.upstreams.get_mut(&id)
+            && upstream.entry.born_ms == entry.born_ms
+            && upstream.entry.addr == entry.addr
+            && upstream.entry.service == entry.service
+        {
+            upstream.entry = entry;
+            upstream.cold_until = cold_until;
+            upstream.missing_until = None;
+            return None;
+        }
+        let replaced = self.remove(&entry.name);
+        self.last_id += 1;
+        let id = UpstreamId(self.last_id);
+        self.names.insert(entry.name.clone(), id);
+        self.services
+            .get_or_insert_with(entry.service.clone(), Vec::new)
+            .push(id);
+        self.upstreams.insert(
+            id,
+            Upstream {
+                entry,
+                health: Health::new(now),
+                cold_until,
+                cold_rate: ColdRate::default(),
+                missing_until: None,
+            },
+        );
+        replaced
+    }
+
+    /// Removes an upstream by its registered name and returns its identity.
+    pub fn remove(&mut self, name: &Name) -> Option<UpstreamId> {
+        let id = self.names.remove(name)?;
+        let upstream = self.upstreams.remove(&id)?;
+        if let Some(ids) = self.services.get_mut(&upstream.entry.service) {
+            ids.retain(|other| *other != id);
+        }
+        Some(id)
+    }
+
+    /// Takes over a whole list. Upstreams that it lacks are removed now, or after
+    /// `keep_missing` where their entries may only have expired.
+    pub fn apply_list(
+        &mut self,
+        now: Instant,
+        entries: Vec<UpstreamEntry>,
+        keep_missing: Option<Duration>,
+    ) -> Vec<UpstreamId> {
+        let mut listed: Vec<Name> = entries.iter().map(|e| e.name.clone()).collect();
+        listed.sort();
+        let mut removed: Vec<UpstreamId> = entries
+            .into_iter()
+            .filter_map(|entry| self.apply(now, entry))
+            .collect();
+        let missing: Vec<Name> = self
+            .names
+            .keys()
+            .filter(|name| listed.binary_search(name).is_err())
+            .cloned()
+            .collect();
+        for name in missing {
+            match keep_missing {
+                Some(keep) => {
+                    let upstream = self
+                        .names
+                        .get(&name)
+                        .and_then(|id| self.upstreams.get_mut(id));
+                    if let Some(upstream) = upstream {
+                        upstream.missing_until.get_or_insert(now + keep);
+                    }
+                }
+                None => removed.extend(self.remove(&name)),
+            }
+        }
+        removed
+    }
+
+    /// Marks one upstream as missing until its entry returns or `keep` is over.
+    pub fn mark_missing(&mut self, now: Instant, name: &Name, keep: Duration) {
+        let id = self.names.get(name).copied();
+        if let Some(upstream) = id.and_then(|id| self.upstreams.get_mut(&id)) {
+            upstream.missing_until.get_or_insert(now + keep);
+        }
+    }
+
+    /// Removes upstreams whose entries did not return in time.
+    pub fn remove_lapsed(&mut self, now: Instant) -> Vec<UpstreamId> {
+        let lapsed: Vec<Name> = self
+            .upstreams
+            .values()
+            .filter(|u| u.missing_until.is_some_and(|until| until <= now))
+            .map(|u| u.entry.name.clone())
+            .collect();
+        lapsed.iter().filter_map(|name| self.remove(name)).collect()
+    }
+
+    /// Chooses the upstream of a service that is expected to answer first, other
+    /// than those in `tried`. `cold_limit` is the number of requests that this
+    /// host may send to one cold upstream in a second.
+    pub fn pick(
+        &mut self,
+        now: Instant,
+        service: &Name,
+        zone: &Name,
+        tried: &[UpstreamId],
+        cold_limit: Option<usize>,
+        rng: &mut fastrand::Rng,
+    ) -> Option<UpstreamView> {
+        let ids = self.services.get(service)?;
+        let mut best: Option<(bool, f64, UpstreamId)> = None;
+        for id in ids {
+            if tried.contains(id) {
+                continue;
+            }
+            let Some(upstream) = self.upstreams.get_mut(id) else {
+                continue;
+            };
+            if !upstream.takes_requests(now, &self.evacuated) {
+                continue;
+            }
+            if let Some(limit) = cold_limit
+                && upstream.is_cold(now)
+                && !upstream.cold_rate.has_room(now, limit)
+            {
+                continue;
+            }
+            let mut score = upstream.health.score(now) * (1.0 + SCORE_JITTER * rng.f64());
+            if upstream.entry.zone != *zone {
+                score += OTHER_ZONE_PENALTY;
+            }
+            let candidate = (upstream.health.is_avoided(now), score, *id);
+            if best.is_none_or(|b| (candidate.0, candidate.1) < (b.0, b.1)) {
+                best = Some(candidate);
+            }
+        }
+        let id = best?.2;
+        let upstream = self.upstreams.get_mut(&id)?;
+        if let Some(limit) = cold_limit
+            && upstream.is_cold(now)
+        {
+            upstream.cold_rate.take(now, limit);
+        }
+        Some(UpstreamView {
+            id,
+            name: upstream.entry.name.clone(),
+            addr: upstream.entry.addr,
+        })
+    }
+
+    /// Reports whether some upstream of the service takes requests and was not
+    /// lost a moment ago.
+    pub fn is_served(&self, now: Instant, service: &Name) -> bool {
+        self.services.get(service).is_some_and(|ids| {
+            ids.iter().any(|id| {
+                self.upstreams.get(id).is_some_and(|u| {
+                    u.takes_requests(now, &self.evacuated) && !u.health.is_avoided(now)
+                })
+            })
+        })
+    }
+
+    /// Reports whether a leg may still be sent to this start of an upstream.
+    pub fn takes_requests(&self, now: Instant, id: UpstreamId) -> bool {
+        self.upstreams
+            .get(&id)
+            .is_some_and(|u| u.takes_requests(now, &self.evacuated))
+    }
+
+    /// Reports whether this start of an upstream is still registered.
+    pub fn is_registered(&self, id: UpstreamId) -> bool {
+        self.upstreams.contains_key(&id)
+    }
+
+    /// Records that a leg was sent; `typical` is the usual time of such a leg.
+    pub fn leg_sent(&mut self, now: Instant, id: UpstreamId, token: u64, typical: Duration) {
+        if let Some(upstream) = self.upstreams.get_mut(&id) {
+            upstream.health.leg_sent(now, token, typical);
+        }
+    }
+
+    /// Records the end of a leg.
+    pub fn leg_ended(&mut self, now: Instant, id: UpstreamId, token: u64, sign: LegSign) {
+        if let Some(upstream) = self.upstreams.get_mut(&id) {
+            upstream.health.leg_ended(now, token, sign);
+        }
+    }
+
+    /// Sets how much longer an upstream is cold, by its own word in an answer.
+    pub fn set_cold(&mut self, now: Instant, id: UpstreamId, left: Duration) {
+        if let Some(upstream) = self.upstreams.get_mut(&id) {
+            upstream.cold_until = (!left.is_zero()).then(|| now + left);
+        }
+    }
+
+    /// Records that an upstream leaves, by its own word in an answer.
+    pub fn set_draining(&mut self, id: UpstreamId) {
+        if let Some(upstream) = self.upstreams.get_mut(&id) {
+            upstream.entry.state = UpstreamState::Draining;
+        }
+    }
+
+    /// Divides a time by the usual one.
+    pub fn ratio(time: Duration, typical: Duration) -> f64 {
+        ratio(time, typical)
+    }
+
+    /// Writes one line for each upstream: name, service, zone and state.
+    pub fn describe(&self, now: Instant) -> Vec<String> {
+        let line = |u: &Upstream| {
+            format!(
+                "upstream={} service={} zone={} state={:?} score={:.2} in_flight={} avoided={} cold={}",
+                u.entry.name,
+                u.entry.service,
+                u.entry.zone,
+                u.entry.state,
+                u.health.score(now),
+                u.health.in_flight(),
+                u.health.is_avoided(now),
+                u.is_cold(now),
+            )
+        };
+        self.upstreams.values().map(line).collect()
+    }
+}
+
+impl Upstream {
+    fn takes_requests(&self, now: Instant, evacuated: &[Name]) -> bool {
+        self.entry.state == UpstreamState::Ready
+            && self.missing_until.is_none_or(|until| now < until)
+            && evacuated.binary_search(&self.entry.zone).is_err()
+    }
+
+    fn is_cold(&self, now: Instant) -> bool {
+        self.cold_until.is_some_and(|until| now < until)
+    }
+}
--- /dev/null
+++ b/crates/cornelwinch_routing/src/lib.rs
@@ -0,0 +1,23 @@
+//! Decisions of the relay, without sockets or clocks: which route a request
+//! takes, which upstream gets it, how many repeats are allowed, and how parts
+//! are merged.
+
+mod budget;
+mod cold;
+mod crashes;
+mod desired;
+mod fleet;
+mod health;
+mod merge;
+mod split;
+mod table;
+
+pub use budget::{BudgetShare, RetryBudget};
+pub use cold::ColdRate;
+pub use crashes::{CrashMarks, RequestPrint};
+pub use desired::{CallerLimits, DesiredState, GatherPlan, Route, RouteKind, Service, Target};
+pub use fleet::{Fleet, UpstreamEntry, UpstreamId, UpstreamState, UpstreamView};
+pub use health::{Health, LegSign};
+pub use merge::{PartMerge, RECORD_BYTES};
+pub use split::SplitCursor;
+pub use table::{Lookup, RouteTable};
--- /dev/null
+++ b/crates/cornelwinch_routing/src/split.rs
@@ -0,0 +1,34 @@
+use cornelwinch_types::Name;
+
+/// Distributes requests among weighted services by smooth round robin, so that
+/// each share is met within any short run of requests.
+///
+/// ```
+/// use cornelwinch_routing::SplitCursor;
+///
+/// let parts = vec![("a".into(), 3), ("b".into(), 1)];
+/// let mut cursor = SplitCursor::default();
+/// let picks: String = (0..4).map(|_| cursor.next(&parts).unwrap().to_string()).collect();
+/// assert_eq!(picks.matches('a').count(), 3);
+/// ```
+#[derive(Debug, Default, Clone)]
+pub struct SplitCursor {
+    credit: Vec<i64>,
+}
+
+impl SplitCursor {
+    /// Picks the service of the next request; `None` if no weight is above 0.
+    pub fn next(&mut self, parts: &[(Name, u32)]) -> Option<Name> {
+        self.credit.resize(parts.len(), 0);
+        let total: i64 = parts.iter().map(|(_, weight)| i64::from(*weight)).sum();
+        if total == 0 {
+            return None;
+        }
+        for (credit, (_, weight)) in self.credit.iter_mut().zip(parts) {
+            *credit += i64::from(*weight);
+        }
+        let best = (0..parts.len()).max_by_key(|i| (self.credit[*i], std::cmp::Reverse(*i)))?;
+        self.credit[best] -= total;
+        Some(parts[best].0.clone())
+    }
+}
--- /dev/null
+++ b/crates/cornelwinch_routing/src/table.rs
@@ -0,0 +1,95 @@
+use std::sync::Arc;
+
+use cornelwinch_types::Name;
+
+use crate::{DesiredState, Route, Service};
+
+/// Routes of one version, by host and longest path prefix.
+///
+/// ```
+/// use cornelwinch_routing::{CallerLimits, DesiredState, Lookup, RouteTable};
+///
+/// let state = DesiredState {
+///     version: 1, routes: vec![], services: vec![], limits: CallerLimits::default(),
+/// };
+/// let table = RouteTable::new(state);
+/// assert_eq!(table.find("search.example", "/titles/"), Lookup::NoRoute);
+/// ```
+#[derive(Debug, Clone)]
+pub struct RouteTable {
+    version: u64,
+    /// Sorted by host, then prefix.
+    routes: Vec<Arc<Route>>,
+    /// Sorted by name.
+    services: Vec<Service>,
+    limits: crate::CallerLimits,
+}
+
+/// Result of a search for a route.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Lookup {
+    /// The route with the longest prefix.
+    Route(Arc<Route>),
+    /// No route of the host begins the path.
+    NoRoute,
+}
+
+impl RouteTable {
+    /// Sorts the routes and services of a version.
+    pub fn new(state: DesiredState) -> Self {
+        let mut routes: Vec<_> = state.routes.into_iter().map(Arc::new).collect();
+        routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
+        let mut services = state.services;
+        services.sort_by(|a, b| a.name.cmp(&b.name));
+        Self {
+            version: state.version,
+            routes,
+            services,
+            limits: state.limits,
+        }
+    }
+
+    /// Version that the table was made from.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Bounds on what callers send.
+    pub fn limits(&self) -> crate::CallerLimits {
+        self.limits
+    }
+
+    /// Routes by host and prefix.
+    pub fn routes(&self) -> &[Arc<Route>] {
+        &self.routes
+    }
+
+    /// Looks up a service by name.
+    pub fn service(&self, name: &Name) -> Option<&Service> {
+        self.services
+            .binary_search_by(|s| s.name.cmp(name))
+            .ok()
+            .map(|i| &self.services[i])
+    }
+
+    /// Finds the route with the longest prefix that begins the path.
+    ///
+    /// `host` is compared without its port and without regard to case; `path` is
+    /// the path without its query.
+    pub fn find(&self, host: &str, path: &str) -> Lookup {
+        let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let host = host.to_ascii_lowercase();
+        let mut end = path.len();
+        while let Some(slash) = path[..end].rfind('/') {
+            let prefix = &path[..=slash];
+            let found = self
+                .routes
+                .binary_search_by(|r| (&*r.host, &*r.prefix).cmp(&(&*host, prefix)));
+            if let Ok(i) = found {
+                return Lookup::Route(self.routes[i].clone());
+            }
+            end = slash;
+        }
+        Lookup::NoRoute
+    }
+}
--- a/crates/cornelwinch_types/src/fingerprint.rs
+++ b/crates/cornelwinch_types/src/fingerprint.rs
@@ -16,10 +16,15 @@
 impl Fingerprint {
     /// Hashes a search name and a request body.
     pub fn of(search: &str, body: &str) -> Self {
+        Self::of_bytes(search.as_bytes(), body.as_bytes())
+    }
+
+    /// Hashes a search or path and a body of any bytes.
+    pub fn of_bytes(search: &[u8], body: &[u8]) -> Self {
         let mut buf = Vec::with_capacity(search.len() + body.len() + 1);
-        buf.extend_from_slice(search.as_bytes());
+        buf.extend_from_slice(search);
         buf.push(0);
-        buf.extend_from_slice(body.as_bytes());
+        buf.extend_from_slice(body);
         Self(xxh3_128(&buf))
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,5 +17,7 @@
 pub use cornelwinch_peer as peer;
 pub use cornelwinch_placement as placement;
 pub use cornelwinch_platform as platform;
+pub use cornelwinch_relay as relay;
+pub use cornelwinch_routing as routing;
 pub use cornelwinch_tickets as tickets;
 pub use cornelwinch_types as types;
