Stop using an upstream whose address another one has

While the store was down, a leaf of another shard kept its entry after its address had gone to a leaf of this shard. Each request sent there was answered 421, and counts as a repeat at the service that has the address now. Ruled out: the number of hosts (5 known on all from 1 s after the start); the window of the budget (each host was below its own share). Change: an upstream that answers 421 gets nothing until it registers a new start.

--- a/crates/cornelwinch_routing/src/fleet.rs
+++ b/crates/cornelwinch_routing/src/fleet.rs
@@ -73,6 +73,9 @@
     cold_rate: ColdRate,
     /// End of the use of an entry that a list after an outage lacks.
     missing_until: Option<Instant>,
+    /// Another upstream has the address. What is sent there counts as a repeat
+    /// at the service of that one.
+    is_displaced: bool,
 }
 
 /// All upstreams that this host knows, with what it has seen of them.
@@ -144,6 +147,7 @@
                 cold_until,
                 cold_rate: ColdRate::default(),
                 missing_until: None,
+                is_displaced: false,
             },
         );
         replaced
@@ -302,6 +306,7 @@
     /// Records the end of a leg.
     pub fn leg_ended(&mut self, now: Instant, id: UpstreamId, token: u64, sign: LegSign) {
         if let Some(upstream) = self.upstreams.get_mut(&id) {
+            upstream.is_displaced |= sign == LegSign::Misdirected;
             upstream.health.leg_ended(now, token, sign);
         }
     }
@@ -347,6 +352,7 @@
 impl Upstream {
     fn takes_requests(&self, now: Instant, evacuated: &[Name]) -> bool {
         self.entry.state == UpstreamState::Ready
+            && !self.is_displaced
             && self.missing_until.is_none_or(|until| now < until)
             && evacuated.binary_search(&self.entry.zone).is_err()
     }
--- a/crates/cornelwinch_routing/src/health.rs
+++ b/crates/cornelwinch_routing/src/health.rs
@@ -37,6 +37,8 @@
     },
     /// The upstream refused the request unstarted.
     Refused,
+    /// Another upstream has the address now.
+    Misdirected,
     /// The answer was broken, a failure or a disconnect.
     Failed,
     /// No connection could be made.
@@ -114,7 +116,8 @@
                 }
                 self.lose(now);
             }
-            LegSign::Unknown => {}
+            // The fleet stops its use.
+            LegSign::Misdirected | LegSign::Unknown => {}
         }
     }
 
