Leave rotation when cut off, share connections, keep a reserve for retries

Change: single-use connections are not pooled; each host uses its share of a leaf's connections; lost leaves are probed by a connect, and a host whose other zones' leaves are all lost and that lacks something it needs is not ready; requests that too few shards can serve are refused before any leg; 0.85 of the budget is spent, hedges at most 0.65 of that. A host that cannot confirm its version still counts requests that may belong elsewhere; the margin covers one of four hosts.

--- a/crates/cornelwinch_relay/src/core.rs
+++ b/crates/cornelwinch_relay/src/core.rs
@@ -3,14 +3,14 @@
 use std::time::{Duration, Instant};
 
 use cornelwinch_routing::{
-    BudgetShare, CrashMarks, Fleet, Route, RouteTable, SplitCursor, UpstreamId, UpstreamView,
+    BudgetShare, CrashMarks, Fleet, GatherPlan, Repeat, RetryBudget, Route, RouteTable, Service,
+    SplitCursor, Target, UpstreamId, UpstreamShare, UpstreamView,
 };
-use cornelwinch_routing::{RetryBudget, Service};
 use cornelwinch_types::{Name, SortedMap};
 
 use crate::metrics::Metrics;
 use crate::pool::Pool;
-use crate::{Dialect, RelaySettings};
+use crate::{Bounds, Dialect, RelaySettings};
 
 /// Hosts that are assumed until the registered ones are known.
 const HOSTS_ASSUMED: usize = 16;
@@ -19,6 +19,13 @@
 /// arrive in the next.
 const COLD_MARGIN: f64 = 0.8;
 
+/// Share of an upstream's connections that is used; a closed one counts there
+/// for a while.
+const CONNECTION_MARGIN: f64 = 0.9;
+
+/// Connections to an upstream whose service is not described.
+const CONNECTIONS_ASSUMED: usize = 4;
+
 /// Change of the usual leg time by each sample above or below it.
 const TYPICAL_STEP: f64 = 0.03;
 
@@ -102,10 +109,10 @@
     }
 
     /// Counts a repeat to a service and returns true if it is allowed.
-    pub(crate) fn spend_repeat(&self, service: &Name) -> bool {
+    pub(crate) fn spend_repeat(&self, service: &Name, repeat: Repeat) -> bool {
         let share = self.budget_share();
         let mut core = self.core.borrow_mut();
-        let granted = core.budget.spend(Instant::now(), &share, service);
+        let granted = core.budget.spend(Instant::now(), &share, service, repeat);
         if granted {
             core.metrics.repeats += 1;
         } else {
@@ -114,38 +121,89 @@
         granted
     }
 
+    /// Number of shards that some upstream serves.
+    pub(crate) fn served_shards(&self, plan: &GatherPlan) -> usize {
+        let core = self.core.borrow();
+        let now = Instant::now();
+        let is_served = |shard: &&Name| core.fleet.is_served(now, shard);
+        plan.shards.iter().filter(is_served).count()
+    }
+
+    /// Reports whether this host should get new connections of callers: it knows
+    /// what to do with them, does not stop, and is not cut off from what they
+    /// need.
+    pub(crate) fn is_ready(&self) -> bool {
+        let core = self.core.borrow();
+        let Some(table) = &core.table else {
+            return false;
+        };
+        let now = Instant::now();
+        !self.draining.get()
+            && !core.fleet.is_empty()
+            && !(core.fleet.is_isolated(now, &self.settings.borrow().zone)
+                && table
+                    .routes()
+                    .iter()
+                    .any(|route| !core.can_serve(now, route)))
+    }
+
     /// Chooses an upstream of a service for the next leg.
     pub(crate) fn pick(&self, service: &Name, tried: &[UpstreamId]) -> Option<UpstreamView> {
         let settings = self.settings.borrow();
         let core = &mut *self.core.borrow_mut();
         let hosts = core.host_count() as f64;
-        let rate = core
-            .table
-            .as_ref()
-            .and_then(|table| table.service(service))
-            .and_then(|service: &Service| service.cold_per_s);
         let bounds = &settings.bounds;
-        let cold_limit = rate.map(|rate| {
-            let all = rate * bounds.cold_overshoot + bounds.cold_slack;
-            (all * COLD_MARGIN / hosts) as usize
-        });
+        let table = core.table.as_ref();
+        let share = match table.and_then(|table| table.service(service)) {
+            Some(service) => share_of(service, bounds, hosts),
+            None => UpstreamShare {
+                connections: CONNECTIONS_ASSUMED,
+                cold_per_s: None,
+            },
+        };
         core.fleet.pick(
             Instant::now(),
             service,
             &settings.zone,
             tried,
-            cold_limit,
+            share,
             &mut core.rng,
         )
     }
 }
 
+/// This host's part of what one upstream of a service bears.
+fn share_of(service: &Service, bounds: &Bounds, hosts: f64) -> UpstreamShare {
+    let connections = f64::from(service.max_connections) * CONNECTION_MARGIN / hosts;
+    let cold_per_s = service.cold_per_s.map(|rate| {
+        let all = rate * bounds.cold_overshoot + bounds.cold_slack;
+        (all * COLD_MARGIN / hosts) as usize
+    });
+    UpstreamShare {
+        connections: (connections as usize).max(1),
+        cold_per_s,
+    }
+}
+
 impl Core {
     /// Number of hosts that divide what all hosts share.
     pub(crate) fn host_count(&self) -> usize {
         self.hosts.unwrap_or(HOSTS_ASSUMED).max(1)
     }
 
+    /// Reports whether upstreams for the route are known and not lost.
+    fn can_serve(&self, now: Instant, route: &Route) -> bool {
+        let is_served = |service: &Name| self.fleet.is_served(now, service);
+        match &route.target {
+            Target::Service(service) => is_served(service),
+            Target::Split(parts) => parts.iter().any(|(service, _)| is_served(service)),
+            Target::Gather(plan) => {
+                let served = plan.shards.iter().filter(|shard| is_served(shard)).count();
+                served >= plan.least_parts()
+            }
+        }
+    }
+
     /// Service of the next request of a weighted split.
     pub(crate) fn next_of_split(&mut self, route: &Route, parts: &[(Name, u32)]) -> Option<Name> {
         self.cursors
--- a/crates/cornelwinch_relay/src/fetch.rs
+++ b/crates/cornelwinch_relay/src/fetch.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use cornelwinch_routing::{RequestPrint, Route, UpstreamId, UpstreamView};
+use cornelwinch_routing::{Repeat, RequestPrint, Route, UpstreamId, UpstreamView};
 use cornelwinch_types::Name;
 use futures_util::StreamExt;
 use futures_util::future::LocalBoxFuture;
@@ -132,10 +132,21 @@
         let Some(upstream) = self.shared.pick(&self.plan.service, &self.tried) else {
             return false;
         };
-        if repeats && !self.shared.spend_repeat(&self.plan.service) {
+        let repeat = if self.legs.is_empty() {
+            Repeat::Retry
+        } else {
+            Repeat::Hedge
+        };
+        if repeats && !self.shared.spend_repeat(&self.plan.service, repeat) {
             self.refused = "repeat_budget";
             return false;
         }
+        log::debug!(
+            "event=leg id={:?} service={} upstream={} repeat={repeats}",
+            self.out.request_id,
+            self.plan.service,
+            upstream.name
+        );
         self.tried.push(upstream.id);
         self.running += 1;
         self.arrived += 1;
@@ -172,7 +183,7 @@
                 self.running -= 1;
                 self.not_run += 1;
                 self.refused = reason;
-                if reason != "refused" {
+                if !matches!(reason, "refused" | "misdirected") {
                     self.arrived -= 1;
                 }
             }
--- a/crates/cornelwinch_relay/src/leg.rs
+++ b/crates/cornelwinch_relay/src/leg.rs
@@ -27,7 +27,8 @@
     pub(crate) body: Bytes,
     pub(crate) request_id: HeaderValue,
     pub(crate) deadline: Instant,
-    /// A new connection is used, so that no earlier answer can arrive on it.
+    /// A new connection is used for this request only, so that no earlier answer
+    /// can arrive on it.
     pub(crate) fresh_connection: bool,
 }
 
@@ -200,7 +201,7 @@
             return (LegEnd::Lost("cut"), Some(LegSign::Failed));
         }
     };
-    if !is_closing(&head.headers) && !sender.is_closed() {
+    if !out.fresh_connection && !is_closing(&head.headers) && !sender.is_closed() {
         let keep_alive = keep_alive_timeout(&head.headers);
         shared.pool.release(upstream.id, sender, keep_alive);
     }
--- a/crates/cornelwinch_relay/src/operator.rs
+++ b/crates/cornelwinch_relay/src/operator.rs
@@ -42,9 +42,8 @@
 
 /// Answers the balancer's readiness check.
 pub(crate) fn answer_readiness(shared: &Shared, _: &Request<Incoming>) -> Response<Full<Bytes>> {
-    let is_ready = is_ready(shared);
     let mut response = Response::new(Full::default());
-    if !is_ready {
+    if !shared.is_ready() {
         *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
     }
     response
@@ -75,9 +74,3 @@
     };
     Response::new(Full::new(Bytes::from(text)))
 }
-
-/// Reports whether this host should get new connections of callers.
-fn is_ready(shared: &Shared) -> bool {
-    let core = shared.core.borrow();
-    !shared.draining.get() && core.table.is_some() && !core.fleet.is_empty()
-}
--- a/crates/cornelwinch_relay/src/pool.rs
+++ b/crates/cornelwinch_relay/src/pool.rs
@@ -62,6 +62,18 @@
         None
     }
 
+    /// Opens a connection to an upstream that was lost and keeps it for the next
+    /// request. Returns false if there is none to be had.
+    pub(crate) async fn probe(&self, upstream: &UpstreamView) -> bool {
+        match connect(upstream).await {
+            Ok(connection) => {
+                self.release(upstream.id, connection.sender, None);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
     /// Returns a connection after a complete answer.
     pub(crate) fn release(
         &self,
--- a/crates/cornelwinch_relay/src/relay.rs
+++ b/crates/cornelwinch_relay/src/relay.rs
@@ -25,6 +25,9 @@
 /// Time between two clean-ups of what is no longer used.
 const TIDY_EVERY: Duration = Duration::from_millis(500);
 
+/// Time between two looks for lost upstreams that are to be probed.
+const PROBE_EVERY: Duration = Duration::from_millis(100);
+
 /// Share of the grace time for which idle connections of callers stay open, so
 /// that a request on its way is still read.
 const LINGER_SHARE: f64 = 0.6;
@@ -71,6 +74,7 @@
     tokio::task::spawn_local(serve_simple(shared.clone(), readiness, answer_readiness));
     tokio::task::spawn_local(serve_simple(shared.clone(), metrics, answer_metrics));
     tokio::task::spawn_local(tidy(shared.clone()));
+    tokio::task::spawn_local(probe_lost(shared.clone()));
     Ok(Relay {
         shared,
         close_idle: Rc::new(close_idle),
@@ -113,6 +117,24 @@
     }
 }
 
+/// Looks whether lost upstreams take connections again.
+async fn probe_lost(shared: Rc<Shared>) {
+    let mut ticks = interval(PROBE_EVERY);
+    loop {
+        ticks.tick().await;
+        let due = shared.core.borrow_mut().fleet.take_probes(Instant::now());
+        for upstream in due {
+            let shared = shared.clone();
+            tokio::task::spawn_local(async move {
+                if shared.pool.probe(&upstream).await {
+                    log::info!("event=upstream_found upstream={}", upstream.name);
+                    shared.core.borrow_mut().fleet.found(upstream.id);
+                }
+            });
+        }
+    }
+}
+
 async fn tidy(shared: Rc<Shared>) {
     let mut ticks = interval(TIDY_EVERY);
     loop {
--- a/crates/cornelwinch_relay/src/scatter.rs
+++ b/crates/cornelwinch_relay/src/scatter.rs
@@ -55,6 +55,9 @@
         shared.count_request(shard);
     }
     let mut gathering = Gathering::new(&plan);
+    if shared.served_shards(&plan) < gathering.least {
+        return Reply::not_run("shards_unserved");
+    }
     let typical = shared.core.borrow().typical(&route);
     let hedge_after = route
         .goal
@@ -91,6 +94,8 @@
             }
         }
     }
+    // Legs in flight are given up and may have run.
+    gathering.ran |= !fetches.is_empty();
     if gathering.is_success() && !fetches.is_empty() {
         tokio::task::spawn_local(timeout(
             LINGER,
--- a/crates/cornelwinch_relay/src/single.rs
+++ b/crates/cornelwinch_relay/src/single.rs
@@ -1,6 +1,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cornelwinch_routing::{RequestPrint, Route, RouteKind};
 use cornelwinch_types::Name;
@@ -26,6 +26,14 @@
     print: RequestPrint,
 ) -> Reply {
     shared.count_request(&service);
+    if !shared
+        .core
+        .borrow()
+        .fleet
+        .is_served(Instant::now(), &service)
+    {
+        return Reply::not_run("service_unserved");
+    }
     let idempotent = route.kind == RouteKind::Idempotent;
     let typical = shared.core.borrow().typical(&route);
     let plan = FetchPlan {
--- a/crates/cornelwinch_routing/src/budget.rs
+++ b/crates/cornelwinch_routing/src/budget.rs
@@ -6,9 +6,22 @@
 /// Slots into which the window is divided.
 const SLOTS_PER_WINDOW: u32 = 40;
 
-/// Share of the proportional allowance that is spent. Hosts count in windows of
-/// their own, and requests that callers sent but that never arrived are unknown.
-const RATIO_MARGIN: f64 = 0.9;
+/// Share of the allowance that is spent. A leg may arrive seconds after it was
+/// sent, when its upstream is reachable again, and counts then.
+const MARGIN: f64 = 0.85;
+
+/// Share of the allowance that hedges may use, so that some is left for legs
+/// that failed.
+const HEDGE_SHARE: f64 = 0.65;
+
+/// Why a request is sent once more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Repeat {
+    /// An earlier leg failed or was refused.
+    Retry,
+    /// An earlier leg is late.
+    Hedge,
+}
 
 /// One host's part of a bound on repeats that all hosts share.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -44,15 +57,14 @@
 ///
 /// ```
 /// use std::time::{Duration, Instant};
-/// use cornelwinch_routing::{BudgetShare, RetryBudget};
+/// use cornelwinch_routing::{BudgetShare, Repeat, RetryBudget};
 ///
 /// let start = Instant::now();
 /// let share = BudgetShare { ratio: 0.2, window: Duration::from_secs(10), slack: 10.0, hosts: 5 };
 /// let mut budget = RetryBudget::new(start);
 /// let now = start + Duration::from_secs(11);
-/// assert!(budget.spend(now, &share, &"shard-1".into()));
-/// assert!(budget.spend(now, &share, &"shard-1".into()));
-/// assert!(!budget.spend(now, &share, &"shard-1".into()));
+/// assert!(budget.spend(now, &share, &"shard-1".into(), Repeat::Retry));
+/// assert!(!budget.spend(now, &share, &"shard-1".into(), Repeat::Retry));
 /// ```
 #[derive(Debug)]
 pub struct RetryBudget {
@@ -75,10 +87,16 @@
     }
 
     /// Counts one repeat and returns true if the window has room for it.
-    pub fn spend(&mut self, now: Instant, share: &BudgetShare, service: &Name) -> bool {
+    pub fn spend(
+        &mut self,
+        now: Instant,
+        share: &BudgetShare,
+        service: &Name,
+        repeat: Repeat,
+    ) -> bool {
         let settled = now.saturating_duration_since(self.start) >= share.window;
         let slack = if settled {
-            (share.slack / share.hosts.max(1) as f64).floor()
+            share.slack / share.hosts.max(1) as f64
         } else {
             0.0
         };
@@ -89,7 +107,11 @@
             requests += u64::from(slot.requests);
             repeats += u64::from(slot.repeats);
         }
-        let allowed = requests as f64 * share.ratio * RATIO_MARGIN + slack;
+        let part = match repeat {
+            Repeat::Retry => MARGIN,
+            Repeat::Hedge => MARGIN * HEDGE_SHARE,
+        };
+        let allowed = (requests as f64 * share.ratio + slack) * part;
         let granted = (repeats + 1) as f64 <= allowed;
         if granted && let Some(slot) = usage.slots.back_mut() {
             slot.repeats += 1;
--- a/crates/cornelwinch_routing/src/fleet.rs
+++ b/crates/cornelwinch_routing/src/fleet.rs
@@ -65,6 +65,15 @@
     pub addr: SocketAddr,
 }
 
+/// This host's part of what one upstream bears.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UpstreamShare {
+    /// Connections at once.
+    pub connections: usize,
+    /// Requests in any second while it is cold; `None` without such a bound.
+    pub cold_per_s: Option<usize>,
+}
+
 #[derive(Debug)]
 struct Upstream {
     entry: UpstreamEntry,
@@ -220,15 +229,14 @@
     }
 
     /// Chooses the upstream of a service that is expected to answer first, other
-    /// than those in `tried`. `cold_limit` is the number of requests that this
-    /// host may send to one cold upstream in a second.
+    /// than those in `tried`.
     pub fn pick(
         &mut self,
         now: Instant,
         service: &Name,
         zone: &Name,
         tried: &[UpstreamId],
-        cold_limit: Option<usize>,
+        share: UpstreamShare,
         rng: &mut fastrand::Rng,
     ) -> Option<UpstreamView> {
         let ids = self.services.get(service)?;
@@ -243,7 +251,10 @@
             if !upstream.takes_requests(now, &self.evacuated) {
                 continue;
             }
-            if let Some(limit) = cold_limit
+            if upstream.health.in_flight() >= share.connections {
+                continue;
+            }
+            if let Some(limit) = share.cold_per_s
                 && upstream.is_cold(now)
                 && !upstream.cold_rate.has_room(now, limit)
             {
@@ -253,14 +264,14 @@
             if upstream.entry.zone != *zone {
                 score += OTHER_ZONE_PENALTY;
             }
-            let candidate = (upstream.health.is_avoided(now), score, *id);
+            let candidate = (upstream.health.is_lost(), score, *id);
             if best.is_none_or(|b| (candidate.0, candidate.1) < (b.0, b.1)) {
                 best = Some(candidate);
             }
         }
         let id = best?.2;
         let upstream = self.upstreams.get_mut(&id)?;
-        if let Some(limit) = cold_limit
+        if let Some(limit) = share.cold_per_s
             && upstream.is_cold(now)
         {
             upstream.cold_rate.take(now, limit);
@@ -272,14 +283,14 @@
         })
     }
 
-    /// Reports whether some upstream of the service takes requests and was not
-    /// lost a moment ago.
+    /// Reports whether some upstream of the service takes requests and is not
+    /// lost.
     pub fn is_served(&self, now: Instant, service: &Name) -> bool {
         self.services.get(service).is_some_and(|ids| {
             ids.iter().any(|id| {
-                self.upstreams.get(id).is_some_and(|u| {
-                    u.takes_requests(now, &self.evacuated) && !u.health.is_avoided(now)
-                })
+                self.upstreams
+                    .get(id)
+                    .is_some_and(|u| u.takes_requests(now, &self.evacuated) && !u.health.is_lost())
             })
         })
     }
@@ -296,6 +307,38 @@
         self.upstreams.contains_key(&id)
     }
 
+    /// Lost upstreams that are to be probed now.
+    pub fn take_probes(&mut self, now: Instant) -> Vec<UpstreamView> {
+        let evacuated = &self.evacuated;
+        let due = self.upstreams.iter_mut().filter_map(|(id, upstream)| {
+            let is_due = upstream.takes_requests(now, evacuated) && upstream.health.take_probe(now);
+            is_due.then(|| UpstreamView {
+                id: *id,
+                name: upstream.entry.name.clone(),
+                addr: upstream.entry.addr,
+            })
+        });
+        due.collect()
+    }
+
+    /// Records that a lost upstream takes connections again.
+    pub fn found(&mut self, id: UpstreamId) {
+        if let Some(upstream) = self.upstreams.get_mut(&id) {
+            upstream.health.found();
+        }
+    }
+
+    /// Reports whether upstreams of other zones were used and all of those are
+    /// lost: the own zone is cut off.
+    pub fn is_isolated(&self, now: Instant, zone: &Name) -> bool {
+        let mut used = self
+            .upstreams
+            .values()
+            .filter(|u| u.entry.zone != *zone && (u.health.is_lost() || u.health.is_used(now)))
+            .peekable();
+        used.peek().is_some() && used.all(|u| u.health.is_lost())
+    }
+
     /// Records that a leg was sent; `typical` is the usual time of such a leg.
     pub fn leg_sent(&mut self, now: Instant, id: UpstreamId, token: u64, typical: Duration) {
         if let Some(upstream) = self.upstreams.get_mut(&id) {
@@ -334,14 +377,14 @@
     pub fn describe(&self, now: Instant) -> Vec<String> {
         let line = |u: &Upstream| {
             format!(
-                "upstream={} service={} zone={} state={:?} score={:.2} in_flight={} avoided={} cold={}",
+                "upstream={} service={} zone={} state={:?} score={:.2} in_flight={} lost={} cold={}",
                 u.entry.name,
                 u.entry.service,
                 u.entry.zone,
                 u.entry.state,
                 u.health.score(now),
                 u.health.in_flight(),
-                u.health.is_avoided(now),
+                u.health.is_lost(),
                 u.is_cold(now),
             )
         };
--- a/crates/cornelwinch_routing/src/health.rs
+++ b/crates/cornelwinch_routing/src/health.rs
@@ -20,11 +20,15 @@
 /// Weight of each leg in flight on the score.
 const IN_FLIGHT_WEIGHT: f64 = 0.5;
 
-/// Legs without any answer in a row from which an upstream counts as silent.
+/// Legs without any answer in a row from which an upstream counts as lost.
 const SILENT_LEGS: u32 = 2;
 
-const AVOID_FIRST: Duration = Duration::from_millis(250);
-const AVOID_LONGEST: Duration = Duration::from_millis(1_500);
+/// Time for which the end of a leg tells whether a zone is reachable.
+const RECENT: Duration = Duration::from_secs(2);
+
+/// Pauses between two probes of a lost upstream.
+const PROBE_FIRST: Duration = Duration::from_millis(250);
+const PROBE_LONGEST: Duration = Duration::from_millis(1_000);
 
 /// How a leg ended, as far as it says something about the upstream. Ratios are
 /// times divided by the usual time of such a leg.
@@ -66,7 +70,10 @@
     sampled: Instant,
     in_flight: Vec<InFlight>,
     lost_in_a_row: u32,
-    avoid_until: Option<Instant>,
+    /// End of the last leg that said something of the upstream.
+    ended: Option<Instant>,
+    /// Time of the next probe while the upstream counts as lost.
+    probe_at: Option<Instant>,
 }
 
 impl Health {
@@ -77,7 +84,8 @@
             sampled: now,
             in_flight: Vec::new(),
             lost_in_a_row: 0,
-            avoid_until: None,
+            ended: None,
+            probe_at: None,
         }
     }
 
@@ -93,14 +101,16 @@
     /// Records the end of a leg.
     pub fn leg_ended(&mut self, now: Instant, token: u64, sign: LegSign) {
         self.in_flight.retain(|leg| leg.token != token);
+        if sign != LegSign::Unknown {
+            self.ended = Some(now);
+        }
         match sign {
             LegSign::Answered { ratio } => {
-                self.lost_in_a_row = 0;
-                self.avoid_until = None;
+                self.found();
                 self.sample(now, ratio.min(ANSWER_SAMPLE_LIMIT), SAMPLE_WEIGHT);
             }
             LegSign::Refused => {
-                self.lost_in_a_row = 0;
+                self.found();
                 self.sample(now, REFUSED_SAMPLE, SAMPLE_WEIGHT);
             }
             LegSign::Failed => {
@@ -121,6 +131,12 @@
         }
     }
 
+    /// Reports whether some leg has ended within the last seconds.
+    pub fn is_used(&self, now: Instant) -> bool {
+        self.ended
+            .is_some_and(|at| now.saturating_duration_since(at) < RECENT)
+    }
+
     /// Legs that this host has in flight.
     pub fn in_flight(&self) -> usize {
         self.in_flight.len()
@@ -136,10 +152,26 @@
         self.faded(now).max(waiting) * (1.0 + IN_FLIGHT_WEIGHT * self.in_flight.len() as f64)
     }
 
-    /// Reports whether the upstream was lost so recently that only a request
-    /// without another choice goes there.
-    pub fn is_avoided(&self, now: Instant) -> bool {
-        self.avoid_until.is_some_and(|until| now < until)
+    /// Reports whether the upstream did not answer its last legs, so that only a
+    /// request without another choice goes there.
+    pub fn is_lost(&self) -> bool {
+        self.probe_at.is_some()
+    }
+
+    /// Reports whether a lost upstream is to be probed, and sets the time of the
+    /// next probe.
+    pub fn take_probe(&mut self, now: Instant) -> bool {
+        let is_due = self.probe_at.is_some_and(|at| at <= now);
+        if is_due {
+            self.lose(now);
+        }
+        is_due
+    }
+
+    /// Records that the upstream takes connections again.
+    pub fn found(&mut self) {
+        self.lost_in_a_row = 0;
+        self.probe_at = None;
     }
 
     /// Slowness that remains of the last samples.
@@ -157,8 +189,8 @@
         self.lost_in_a_row += 1;
         if self.lost_in_a_row >= SILENT_LEGS {
             let doublings = (self.lost_in_a_row - SILENT_LEGS).min(8);
-            let avoid = (AVOID_FIRST * 2_u32.pow(doublings)).min(AVOID_LONGEST);
-            self.avoid_until = Some(now + avoid);
+            let pause = (PROBE_FIRST * 2_u32.pow(doublings)).min(PROBE_LONGEST);
+            self.probe_at = Some(now + pause);
         }
     }
 }
--- a/crates/cornelwinch_routing/src/lib.rs
+++ b/crates/cornelwinch_routing/src/lib.rs
@@ -12,11 +12,11 @@
 mod split;
 mod table;
 
-pub use budget::{BudgetShare, RetryBudget};
+pub use budget::{BudgetShare, Repeat, RetryBudget};
 pub use cold::ColdRate;
 pub use crashes::{CrashMarks, RequestPrint};
 pub use desired::{CallerLimits, DesiredState, GatherPlan, Route, RouteKind, Service, Target};
-pub use fleet::{Fleet, UpstreamEntry, UpstreamId, UpstreamState, UpstreamView};
+pub use fleet::{Fleet, UpstreamEntry, UpstreamId, UpstreamShare, UpstreamState, UpstreamView};
 pub use health::{Health, LegSign};
 pub use merge::{PartMerge, RECORD_BYTES};
 pub use split::SplitCursor;
--- a/crates/cornelwinch_routing/tests/fleet_choice.rs
+++ b/crates/cornelwinch_routing/tests/fleet_choice.rs
@@ -2,9 +2,13 @@
 
 use std::time::{Duration, Instant};
 
-use cornelwinch_routing::{Fleet, LegSign, UpstreamEntry, UpstreamState};
+use cornelwinch_routing::{Fleet, LegSign, UpstreamEntry, UpstreamShare, UpstreamState};
 use cornelwinch_types::Name;
 
+const OPEN: UpstreamShare = UpstreamShare {
+    connections: usize::MAX,
+    cold_per_s: None,
+};
 const TYPICAL: Duration = Duration::from_millis(10);
 
 fn entry(name: &str, zone: &str) -> UpstreamEntry {
@@ -42,16 +46,16 @@
     }
 
     fn pick(&mut self) -> Option<Name> {
-        self.pick_cold(None)
+        self.pick_share(OPEN)
     }
 
-    fn pick_cold(&mut self, limit: Option<usize>) -> Option<Name> {
+    fn pick_share(&mut self, share: UpstreamShare) -> Option<Name> {
         let view = self.fleet.pick(
             self.now,
             &"shard".into(),
             &"a".into(),
             &[],
-            limit,
+            share,
             &mut self.rng,
         );
         view.map(|view| view.name)
@@ -65,7 +69,7 @@
                     &"shard".into(),
                     &"a".into(),
                     &[],
-                    None,
+                    OPEN,
                     &mut self.rng,
                 )?;
                 if &*view.name == name {
@@ -118,7 +122,7 @@
             &"shard".into(),
             &"a".into(),
             &[],
-            None,
+            OPEN,
             &mut lab.rng,
         )
         .unwrap();
@@ -186,10 +190,14 @@
         ..entry("cold", "a")
     };
     let mut lab = Lab::new(vec![cold]);
+    let share = UpstreamShare {
+        cold_per_s: Some(4),
+        ..OPEN
+    };
     let mut sent = Vec::new();
     for _ in 0..500 {
         lab.now += Duration::from_millis(lab.rng.u64(0..30));
-        if lab.pick_cold(Some(4)).is_some() {
+        if lab.pick_share(share).is_some() {
             sent.push(lab.now);
         }
     }
