Mark only requests that crashed three upstreams and were never answered

Change: a mark needs three disconnects and no answer for 60 s, and then refuses the request whole; a host that is not ready closes callers' connections after each answer; hosts are listed at once. A watch waits 2.8 s instead of 1.8.

--- a/crates/cornelwinch_relay/src/core.rs
+++ b/crates/cornelwinch_relay/src/core.rs
@@ -13,7 +13,7 @@
 use crate::{Bounds, Dialect, RelaySettings};
 
 /// Hosts that are assumed until the registered ones are known.
-const HOSTS_ASSUMED: usize = 16;
+const HOSTS_ASSUMED: usize = 8;
 
 /// Share of a bound on cold upstreams that is spent; messages of one second may
 /// arrive in the next.
--- a/crates/cornelwinch_relay/src/fetch.rs
+++ b/crates/cornelwinch_relay/src/fetch.rs
@@ -172,7 +172,7 @@
             LegEnd::Answer(answer) => {
                 if answer.status.is_success() {
                     core.record_leg_time(&self.plan.route, sent.elapsed());
-                    core.marks.record_answer(self.plan.print);
+                    core.marks.record_answer(Instant::now(), self.plan.print);
                 }
                 if !answer.status.is_server_error() || !self.plan.idempotent {
                     return Some(answer);
--- a/crates/cornelwinch_relay/src/handle.rs
+++ b/crates/cornelwinch_relay/src/handle.rs
@@ -105,7 +105,8 @@
     core.metrics.record(route, elapsed, reply.outcome);
     drop(core);
     let mut response = reply.response;
-    if shared.draining.get() {
+    // The caller reaches another host with its next connection.
+    if !shared.is_ready() {
         response
             .headers_mut()
             .insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -159,6 +160,9 @@
         return Reply::rejected(StatusCode::BAD_REQUEST, "path");
     };
     let print = RequestPrint::of_bytes(path.as_bytes(), &body);
+    if shared.core.borrow().marks.is_marked(start, print) {
+        return Reply::not_run("crashes_upstreams");
+    }
     let out = Rc::new(Outgoing {
         method: head.method,
         uri,
--- a/crates/cornelwinch_relay/src/sync.rs
+++ b/crates/cornelwinch_relay/src/sync.rs
@@ -12,9 +12,9 @@
 use crate::store::{StoreClient, StoreError};
 
 /// Longest time that a watch waits. A connection that went silent is noticed
-/// after this time and the margin, which together stay below the shortest bound
-/// on the age of a configuration, 3 s.
-const WATCH_WAIT: Duration = Duration::from_millis(1_800);
+/// after this time and the margin, which together stay below the 4 s for which
+/// the platform allows a host to recover from it.
+const WATCH_WAIT: Duration = Duration::from_millis(2_800);
 
 /// Time beyond the wait after which a watch counts as lost.
 const WATCH_MARGIN: Duration = Duration::from_millis(400);
@@ -34,6 +34,10 @@
 /// Time between two looks at the registered hosts.
 const HOSTS_EVERY: Duration = Duration::from_secs(4);
 
+/// Time within which hosts that start together have registered, and stale reads
+/// show it.
+const HOSTS_SETTLE: Duration = Duration::from_secs(2);
+
 /// Most pages of one list.
 const PAGE_LIMIT: usize = 10_000;
 
@@ -130,6 +134,10 @@
     };
     let mut client = StoreClient::new(addr);
     let mut is_registered = false;
+    // The first look takes place at once and sees the hosts of an earlier start;
+    // the second one those that started at the same time.
+    let mut waits = [HOSTS_SETTLE].into_iter();
+    let mut stale = false;
     loop {
         if !is_registered {
             is_registered = match client.write(call.clone(), LIST_WAIT).await {
@@ -144,8 +152,7 @@
                 }
             };
         }
-        sleep(Duration::from_secs(1)).await;
-        match list(&shared, &mut client, Kind::Hosts, true).await {
+        match list(&shared, &mut client, Kind::Hosts, stale).await {
             Ok(page) => {
                 let mut core = shared.core.borrow_mut();
                 let hosts = page.items.len().max(core.hosts.unwrap_or(1));
@@ -156,7 +163,8 @@
             }
             Err(error) => log::info!("event=hosts_unknown {error}"),
         }
-        sleep(HOSTS_EVERY).await;
+        stale = true;
+        sleep(waits.next().unwrap_or(HOSTS_EVERY)).await;
     }
 }
 
--- a/crates/cornelwinch_routing/src/crashes.rs
+++ b/crates/cornelwinch_routing/src/crashes.rs
@@ -4,12 +4,12 @@
 
 /// Disconnects on different upstreams after which a request is taken for the
 /// cause of their crashes.
-const CRASHES_PER_MARK: usize = 2;
+const CRASHES_PER_MARK: usize = 3;
 
-/// Time after which a disconnect or mark is forgotten.
+/// Time after which a disconnect, a mark or an answer is forgotten.
 const MEMORY: Duration = Duration::from_secs(60);
 
-/// Largest number of requests that are remembered.
+/// Largest number of requests that are remembered, of each kind.
 const REQUEST_LIMIT: usize = 4_096;
 
 /// Identity of a request across attempts: its path and body.
@@ -17,13 +17,16 @@
 
 #[derive(Debug)]
 struct Suspect {
-    /// Upstreams that the request broke, by a hash of their identity.
+    /// Upstreams that the request broke.
     upstreams: Vec<u64>,
     last: Instant,
 }
 
 /// Requests that crash the upstreams that run them.
 ///
+/// A request that was answered of late is never marked: upstreams that lose
+/// answers break connections too.
+///
 /// ```
 /// use std::time::Instant;
 /// use cornelwinch_routing::{CrashMarks, RequestPrint};
@@ -32,21 +35,27 @@
 /// let print = RequestPrint::of("/titles/", "");
 /// let mut marks = CrashMarks::default();
 /// assert!(!marks.record_disconnect(now, print, 1));
-/// assert!(marks.record_disconnect(now, print, 2));
+/// assert!(!marks.record_disconnect(now, print, 2));
+/// assert!(marks.record_disconnect(now, print, 3));
 /// assert!(marks.is_marked(now, print));
 /// ```
 #[derive(Debug, Default)]
 pub struct CrashMarks {
     suspects: SortedMap<RequestPrint, Suspect>,
+    /// Time of the last answer.
+    answered: SortedMap<RequestPrint, Instant>,
 }
 
 impl CrashMarks {
     /// Records that an upstream closed a connection on which the request ran.
     /// Returns true if the request is now marked for the first time.
     pub fn record_disconnect(&mut self, now: Instant, print: RequestPrint, upstream: u64) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < MEMORY;
+        if self.answered.get(&print).is_some_and(|at| is_recent(*at)) {
+            return false;
+        }
         if self.suspects.len() >= REQUEST_LIMIT {
-            self.suspects
-                .retain(|_, s| now.saturating_duration_since(s.last) < MEMORY);
+            self.suspects.retain(|_, suspect| is_recent(suspect.last));
             if self.suspects.len() >= REQUEST_LIMIT {
                 return false;
             }
@@ -55,7 +64,7 @@
             upstreams: Vec::new(),
             last: now,
         });
-        if now.saturating_duration_since(suspect.last) >= MEMORY {
+        if !is_recent(suspect.last) {
             suspect.upstreams.clear();
         }
         suspect.last = now;
@@ -66,14 +75,20 @@
         suspect.upstreams.len() == CRASHES_PER_MARK
     }
 
-    /// Forgets the disconnects of a request that was answered.
-    pub fn record_answer(&mut self, print: RequestPrint) {
-        if !self.suspects.is_empty() {
-            self.suspects.remove(&print);
+    /// Records an answer, which clears the request of suspicion.
+    pub fn record_answer(&mut self, now: Instant, print: RequestPrint) {
+        self.suspects.remove(&print);
+        if self.answered.len() >= REQUEST_LIMIT {
+            self.answered
+                .retain(|_, at| now.saturating_duration_since(*at) < MEMORY / 2);
+            if self.answered.len() >= REQUEST_LIMIT {
+                return;
+            }
         }
+        self.answered.insert(print, now);
     }
 
-    /// Reports whether the request must not be sent again.
+    /// Reports whether the request must not be sent.
     pub fn is_marked(&self, now: Instant, print: RequestPrint) -> bool {
         self.suspects.get(&print).is_some_and(|s| {
             s.upstreams.len() >= CRASHES_PER_MARK && now.saturating_duration_since(s.last) < MEMORY
