--- a/crates/cornelwinch_relay/src/handle.rs
+++ b/crates/cornelwinch_relay/src/handle.rs
@@ -20,6 +20,10 @@
 /// Taken off a deadline for the way of the answer back to the caller.
 const WAY_BACK: Duration = Duration::from_millis(5);
 
+/// Time that upstreams are given for a part, in goals of the route. A part that
+/// is later helps few answers, and an upstream drops it from its queue.
+const LEG_GOALS: f64 = 1.0;
+
 /// Counts a request for as long as it is being answered.
 struct Active<'a>(&'a Shared);
 
@@ -163,13 +167,19 @@
     if shared.core.borrow().marks.is_marked(start, print) {
         return Reply::not_run("crashes_upstreams");
     }
+    let deadline = start + time;
+    let leg_deadline = match &route.target {
+        Target::Gather(_) => deadline.min(start + route.goal.mul_f64(LEG_GOALS)),
+        Target::Service(_) | Target::Split(_) => deadline,
+    };
     let out = Rc::new(Outgoing {
         method: head.method,
         uri,
         headers,
         body,
         request_id,
-        deadline: start + time,
+        deadline,
+        leg_deadline,
         fresh_connection: route.kind == cornelwinch_routing::RouteKind::NonIdempotent,
     });
     let shared = shared.clone();
--- a/crates/cornelwinch_relay/src/leg.rs
+++ b/crates/cornelwinch_relay/src/leg.rs
@@ -27,6 +27,8 @@
     pub(crate) body: Bytes,
     pub(crate) request_id: HeaderValue,
     pub(crate) deadline: Instant,
+    /// End of the time that upstreams are given.
+    pub(crate) leg_deadline: Instant,
     /// A new connection is used for this request only, so that no earlier answer
     /// can arrive on it.
     pub(crate) fresh_connection: bool,
@@ -225,7 +227,7 @@
 
 /// Builds the request for one upstream; `None` if no time is left.
 fn build(shared: &Shared, out: &Outgoing, upstream: &UpstreamView) -> Option<Request<Full<Bytes>>> {
-    let left = out.deadline.saturating_duration_since(Instant::now());
+    let left = out.leg_deadline.saturating_duration_since(Instant::now());
     if left < Duration::from_millis(1) {
         return None;
     }
