Let two hosts follow the store and feed the others

Ruled out: longer waits (the hosts times events remain); stale reads (a bound on the age of a configuration counts). Change: hosts register in a kind of their own. The first two in a common order, of different zones where possible, follow the store and pass lists, changes and beats on over WebSocket and CBOR; a host without a feed follows the store itself. Revisions keep a source that lags from taking anything back.

--- a/crates/cornelwinch_relay/src/core.rs
+++ b/crates/cornelwinch_relay/src/core.rs
@@ -2,19 +2,29 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use cornelwinch_routing::{
-    BudgetShare, CrashMarks, Fleet, GatherPlan, Repeat, RetryBudget, Route, RouteTable, Service,
-    SplitCursor, Target, UpstreamId, UpstreamShare, UpstreamView,
+    BudgetShare, CrashMarks, Fleet, GatherPlan, HostEntry, Repeat, RetryBudget, Route, RouteTable,
+    Service, SplitCursor, Target, UpstreamId, UpstreamShare, UpstreamView,
 };
 use cornelwinch_types::{Name, SortedMap};
+use tokio::sync::broadcast;
 
+use crate::apply::apply_changes;
+use crate::condition::StoreCondition;
+use crate::dialect::{Item, Kind};
+use crate::feed::{FeedMessage, encode};
 use crate::metrics::Metrics;
+use crate::mirror::Mirror;
 use crate::pool::Pool;
 use crate::{Bounds, Dialect, RelaySettings};
 
 /// Hosts that are assumed until the registered ones are known.
 const HOSTS_ASSUMED: usize = 8;
 
+/// Messages that a host which is fed may be behind.
+const FEED_QUEUE: usize = 256;
+
 /// Share of a bound on cold upstreams that is spent; messages of one second may
 /// arrive in the next.
 const COLD_MARGIN: f64 = 0.8;
@@ -41,7 +51,7 @@
     pub(crate) marks: CrashMarks,
     pub(crate) metrics: Metrics,
     /// Largest number of hosts that was registered in this lifetime.
-    pub(crate) hosts: Option<usize>,
+    pub(crate) most_hosts: Option<usize>,
     pub(crate) rng: fastrand::Rng,
     cursors: SortedMap<Name, SplitCursor>,
     /// Median time of a leg, by route.
@@ -59,6 +69,16 @@
     pub(crate) draining: Cell<bool>,
     /// Requests of callers that are being answered.
     pub(crate) active: Cell<usize>,
+    /// Copy of the store's objects.
+    pub(crate) mirror: RefCell<Mirror>,
+    /// Registered hosts.
+    pub(crate) hosts: RefCell<Vec<HostEntry>>,
+    pub(crate) condition: StoreCondition,
+    /// Encoded messages to the hosts that this one feeds.
+    pub(crate) feed: broadcast::Sender<Bytes>,
+    is_source: Cell<bool>,
+    /// Last word of the source that feeds this host.
+    fed: Cell<Option<Instant>>,
     tokens: Cell<u64>,
 }
 
@@ -71,7 +91,7 @@
                 budget: RetryBudget::new(Instant::now()),
                 marks: CrashMarks::default(),
                 metrics: Metrics::default(),
-                hosts: None,
+                most_hosts: None,
                 rng: fastrand::Rng::new(),
                 cursors: SortedMap::new(),
                 typical: SortedMap::new(),
@@ -81,6 +101,12 @@
             settings: RefCell::new(settings),
             draining: Cell::new(false),
             active: Cell::new(0),
+            mirror: RefCell::default(),
+            hosts: RefCell::default(),
+            condition: StoreCondition::default(),
+            feed: broadcast::channel(FEED_QUEUE).0,
+            is_source: Cell::new(false),
+            fed: Cell::new(None),
             tokens: Cell::new(0),
         }
     }
@@ -90,6 +116,98 @@
         self.tokens.get()
     }
 
+    /// This host as it is registered.
+    pub(crate) fn own_entry(&self) -> HostEntry {
+        let settings = self.settings.borrow();
+        HostEntry {
+            name: settings.host.clone(),
+            zone: settings.zone.clone(),
+            peer: settings.peer,
+        }
+    }
+
+    /// Reports whether this host follows the store itself.
+    pub(crate) fn is_source(&self) -> bool {
+        self.is_source.get()
+    }
+
+    /// Sets whether this host follows the store itself.
+    pub(crate) fn set_source(&self, is_source: bool) {
+        self.is_source.set(is_source);
+    }
+
+    /// Records that the source that feeds this host lives and knows the store.
+    pub(crate) fn record_feed(&self, now: Instant) {
+        self.fed.set(Some(now));
+    }
+
+    /// Takes over a whole list of a kind, puts what it changes in force and passes
+    /// it on.
+    pub(crate) fn take_list(
+        &self,
+        kind: Kind,
+        revision: u64,
+        items: Vec<Item>,
+        grace: Option<Duration>,
+    ) {
+        let is_first = self.mirror.borrow().revision(kind).is_none();
+        let changes = self.mirror.borrow_mut().apply_list(kind, revision, items);
+        if is_first && let Some(items) = &changes {
+            self.publish(&FeedMessage::List {
+                kind,
+                revision,
+                items: items.clone(),
+            });
+        }
+        self.put_in_force(kind, revision, changes, grace);
+    }
+
+    /// Takes over changes of a kind, puts them in force and passes them on.
+    pub(crate) fn take_changes(
+        &self,
+        kind: Kind,
+        revision: u64,
+        items: Vec<Item>,
+        grace: Option<Duration>,
+    ) {
+        let changes = self
+            .mirror
+            .borrow_mut()
+            .apply_changes(kind, revision, items);
+        self.put_in_force(kind, revision, changes, grace);
+    }
+
+    fn put_in_force(
+        &self,
+        kind: Kind,
+        revision: u64,
+        changes: Option<Vec<Item>>,
+        grace: Option<Duration>,
+    ) {
+        let Some(items) = changes else {
+            log::info!("event=older_ignored kind={kind:?} revision={revision}");
+            return;
+        };
+        if items.is_empty() {
+            return;
+        }
+        self.publish(&FeedMessage::Changes {
+            kind,
+            revision,
+            items: items.clone(),
+            grace_ms: grace.map(|grace| u64::try_from(grace.as_millis()).unwrap_or(u64::MAX)),
+        });
+        apply_changes(self, kind, items, grace);
+    }
+
+    /// Passes a message on to the hosts that this one feeds.
+    fn publish(&self, message: &FeedMessage) {
+        if self.feed.receiver_count() > 0 {
+            // Without a receiver there is nobody to feed.
+            let _ = self.feed.send(encode(message));
+        }
+    }
+
     /// This host's part of the bound on repeats.
     pub(crate) fn budget_share(&self) -> BudgetShare {
         let bounds = self.settings.borrow().bounds;
@@ -188,7 +306,7 @@
 impl Core {
     /// Number of hosts that divide what all hosts share.
     pub(crate) fn host_count(&self) -> usize {
-        self.hosts.unwrap_or(HOSTS_ASSUMED).max(1)
+        self.most_hosts.unwrap_or(HOSTS_ASSUMED).max(1)
     }
 
     /// Reports whether upstreams for the route are known and not lost.
--- a/crates/cornelwinch_relay/src/dialect.rs
+++ b/crates/cornelwinch_relay/src/dialect.rs
@@ -1,8 +1,9 @@
 use std::time::Duration;
 
-use cornelwinch_routing::{DesiredState, UpstreamEntry};
+use cornelwinch_routing::{DesiredState, HostEntry, UpstreamEntry};
 use cornelwinch_types::Name;
 use hyper::header::HeaderName;
+use serde::{Deserialize, Serialize};
 
 /// Names and formats of a platform, as data and functions that decide nothing.
 #[derive(Debug, Clone)]
@@ -35,7 +36,7 @@
 }
 
 /// Kinds of objects in the platform's store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Kind {
     /// The version of routes and services in force.
     DesiredState,
@@ -56,7 +57,9 @@
     /// Path that waits for changes after a revision.
     pub watch_path: fn(kind: Kind, revision: u64, wait: Duration) -> String,
     /// Call that registers this host.
-    pub register_host: fn(host: &str, zone: &str) -> WriteCall,
+    pub register_host: fn(host: &HostEntry) -> WriteCall,
+    /// Call that replaces the entry of this host.
+    pub replace_host: fn(host: &HostEntry) -> WriteCall,
     /// Decodes a list.
     pub decode_page: fn(kind: Kind, body: &[u8]) -> Result<Page, String>,
     /// Decodes the changes that a watch returns; `next` of the page is unused.
@@ -86,7 +89,7 @@
 }
 
 /// One object, or its removal.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Item {
     /// Name of the object.
     pub name: Name,
@@ -95,12 +98,14 @@
 }
 
 /// What an object holds.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Value {
     /// A version of routes and services.
     DesiredState(Box<DesiredState>),
     /// A registered upstream.
     Upstream(UpstreamEntry),
+    /// A registered host.
+    Host(HostEntry),
     /// An object whose name says all.
     Present,
     /// An object that cannot be used, and why.
--- /dev/null
+++ b/crates/cornelwinch_relay/src/feed.rs
@@ -0,0 +1,168 @@
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use cornelwinch_types::Name;
+use futures_util::{SinkExt, StreamExt};
+use serde::{Deserialize, Serialize};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::broadcast::error::RecvError;
+use tokio::time::{interval, timeout};
+use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::{WebSocketStream, accept_async};
+
+use crate::core::Shared;
+use crate::dialect::{Item, Kind};
+
+/// Time between two beats of a source.
+pub(crate) const BEAT_EVERY: Duration = Duration::from_millis(350);
+
+/// Longest time for a handshake or for one message to be sent.
+const SEND_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Kinds that a source passes on.
+pub(crate) const FED_KINDS: [Kind; 4] = [
+    Kind::DesiredState,
+    Kind::Upstreams,
+    Kind::Evacuations,
+    Kind::Hosts,
+];
+
+/// A message from a source to the hosts that it feeds.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum FeedMessage {
+    /// The first message.
+    Hello {
+        /// Name of the source.
+        host: Name,
+        /// The host follows the store itself.
+        is_source: bool,
+    },
+    /// All objects of a kind.
+    List {
+        kind: Kind,
+        revision: u64,
+        items: Vec<Item>,
+    },
+    /// Changed objects of a kind.
+    Changes {
+        kind: Kind,
+        revision: u64,
+        items: Vec<Item>,
+        /// How much longer removed entries may only have expired.
+        grace_ms: Option<u64>,
+    },
+    /// The source lives.
+    Beat {
+        /// Time since the store answered the source.
+        age_ms: u64,
+        /// The store did not answer the source's last call.
+        is_failing: bool,
+    },
+}
+
+/// Encodes a message.
+pub(crate) fn encode(message: &FeedMessage) -> Bytes {
+    let mut buf = Vec::new();
+    ciborium::into_writer(message, &mut buf).expect("writing to a vector does not fail");
+    buf.into()
+}
+
+/// Accepts hosts that want to be fed.
+pub(crate) async fn serve_feed(shared: Rc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                let shared = shared.clone();
+                tokio::task::spawn_local(async move {
+                    let reason = feed_host(&shared, stream).await;
+                    log::info!("event=feed_ended peer={peer} reason=\"{reason}\"");
+                });
+            }
+            Err(error) => {
+                log::warn!("event=accept_failed reason=\"{error}\"");
+                tokio::time::sleep(BEAT_EVERY).await;
+            }
+        }
+    }
+}
+
+/// Feeds one host until its connection ends; returns why it ended.
+async fn feed_host(shared: &Shared, stream: TcpStream) -> String {
+    if let Err(error) = stream.set_nodelay(true) {
+        return error.to_string();
+    }
+    let mut socket = match timeout(SEND_TIMEOUT, accept_async(stream)).await {
+        Ok(Ok(socket)) => socket,
+        Ok(Err(error)) => return error.to_string(),
+        Err(_) => return "handshake_timeout".to_owned(),
+    };
+    let mut changes = shared.feed.subscribe();
+    for message in first_messages(shared) {
+        if let Err(reason) = send(&mut socket, encode(&message)).await {
+            return reason;
+        }
+    }
+    let mut beats = interval(BEAT_EVERY);
+    loop {
+        let buf = tokio::select! {
+            change = changes.recv() => match change {
+                Ok(buf) => buf,
+                Err(RecvError::Lagged(_)) => return "too_slow".to_owned(),
+                Err(RecvError::Closed) => return "closed".to_owned(),
+            },
+            _ = beats.tick() => {
+                if !shared.is_source() {
+                    return "no_source".to_owned();
+                }
+                encode(&beat(shared))
+            }
+            message = socket.next() => match message {
+                Some(Ok(Message::Close(_))) | None => return "left".to_owned(),
+                Some(Ok(_)) => continue,
+                Some(Err(error)) => return error.to_string(),
+            },
+        };
+        if let Err(reason) = send(&mut socket, buf).await {
+            return reason;
+        }
+    }
+}
+
+fn first_messages(shared: &Shared) -> Vec<FeedMessage> {
+    let is_source = shared.is_source();
+    let mut messages = vec![FeedMessage::Hello {
+        host: shared.settings.borrow().host.clone(),
+        is_source,
+    }];
+    if is_source {
+        let mirror = shared.mirror.borrow();
+        messages.extend(FED_KINDS.into_iter().filter_map(|kind| {
+            Some(FeedMessage::List {
+                kind,
+                revision: mirror.revision(kind)?,
+                items: mirror.items(kind),
+            })
+        }));
+        messages.push(beat(shared));
+    }
+    messages
+}
+
+fn beat(shared: &Shared) -> FeedMessage {
+    let age = shared.condition.age(Instant::now());
+    FeedMessage::Beat {
+        age_ms: age.map_or(u64::MAX, |age| {
+            u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+        }),
+        is_failing: shared.condition.is_failing(),
+    }
+}
+
+async fn send(socket: &mut WebSocketStream<TcpStream>, buf: Bytes) -> Result<(), String> {
+    match timeout(SEND_TIMEOUT, socket.send(Message::Binary(buf))).await {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(error)) => Err(error.to_string()),
+        Err(_) => Err("send_timeout".to_owned()),
+    }
+}
--- a/crates/cornelwinch_relay/src/lib.rs
+++ b/crates/cornelwinch_relay/src/lib.rs
@@ -5,16 +5,21 @@
 //! formats of a platform come in as a [`Dialect`].
 
 mod answer;
+mod apply;
 mod callers;
+mod condition;
 mod core;
 mod dialect;
 mod error;
+mod feed;
 mod fetch;
+mod follow;
 mod handle;
 mod headers;
 mod leg;
 mod logging;
 mod metrics;
+mod mirror;
 mod operator;
 mod pool;
 mod relay;
@@ -22,6 +27,7 @@
 mod settings;
 mod single;
 mod store;
+mod subscribe;
 mod sync;
 
 pub use dialect::{Dialect, Headers, Item, Kind, Page, StoreCalls, Value, WriteCall};
--- a/crates/cornelwinch_relay/src/operator.rs
+++ b/crates/cornelwinch_relay/src/operator.rs
@@ -58,8 +58,9 @@
     let text = if request.uri().path() == "/state" {
         let version = core.table.as_ref().map_or(0, |table| table.version());
         let mut text = format!(
-            "version={version} hosts={} draining={} active={} evacuated={:?}\n",
+            "version={version} hosts={} source={} draining={} active={} evacuated={:?}\n",
             core.host_count(),
+            shared.is_source(),
             shared.draining.get(),
             shared.active.get(),
             core.fleet.evacuated(),
--- a/crates/cornelwinch_relay/src/relay.rs
+++ b/crates/cornelwinch_relay/src/relay.rs
@@ -12,12 +12,13 @@
 
 use crate::callers::serve_callers;
 use crate::core::Shared;
-use crate::dialect::{Dialect, Kind};
+use crate::dialect::Dialect;
 use crate::error::{BindSnafu, ProcessSnafu, RelayError};
+use crate::feed::serve_feed;
 use crate::logging::{FLUSH_EVERY, LogHandle};
 use crate::operator::{answer_metrics, answer_readiness, serve_simple};
 use crate::settings::RelaySettings;
-use crate::sync::{StoreCondition, follow, follow_hosts};
+use crate::sync::keep_in_sync;
 
 /// Connections that wait to be accepted.
 const BACKLOG: i32 = 1_024;
@@ -63,13 +64,11 @@
     let callers = listen(settings.caller)?;
     let readiness = listen(settings.readiness)?;
     let metrics = listen(settings.metrics)?;
+    let peers = listen(settings.peer)?;
     let shared = Rc::new(Shared::new(settings, dialect));
     let (close_idle, closing) = watch::channel(false);
-    let condition = Rc::new(StoreCondition::default());
-    for kind in [Kind::DesiredState, Kind::Upstreams, Kind::Evacuations] {
-        tokio::task::spawn_local(follow(shared.clone(), condition.clone(), kind));
-    }
-    tokio::task::spawn_local(follow_hosts(shared.clone()));
+    tokio::task::spawn_local(keep_in_sync(shared.clone()));
+    tokio::task::spawn_local(serve_feed(shared.clone(), peers));
     tokio::task::spawn_local(serve_callers(shared.clone(), callers, closing));
     tokio::task::spawn_local(serve_simple(shared.clone(), readiness, answer_readiness));
     tokio::task::spawn_local(serve_simple(shared.clone(), metrics, answer_metrics));
@@ -180,6 +179,13 @@
     log: &LogHandle,
     read_settings: impl Fn() -> Result<RelaySettings, RelayError>,
 ) -> Result<(), RelayError> {
+    let panic_log = log.clone();
+    std::panic::set_hook(Box::new(move |panic| {
+        // A task that is gone would leave the process running without it.
+        eprintln!("event=panic reason=\"{panic}\"");
+        panic_log.0.flush();
+        std::process::abort();
+    }));
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
--- a/crates/cornelwinch_relay/src/settings.rs
+++ b/crates/cornelwinch_relay/src/settings.rs
@@ -18,6 +18,7 @@
 ///     "host": "a-1", "zone": "a",
 ///     "caller": "127.0.0.1:8080", "readiness": "127.0.0.1:8081",
 ///     "metrics": "127.0.0.1:8082", // text for operators
+///     "peer": "127.0.0.1:8083",
 ///     "store": "127.0.0.1:7000",
 ///     "bounds": {
 ///         "drain_ms": 3000, "grace_s": 6, "config_apply_ms": 3000,
@@ -41,6 +42,8 @@
     pub readiness: SocketAddr,
     /// Listen address for metrics and the state of the host.
     pub metrics: SocketAddr,
+    /// Listen address for other hosts, under which this one is registered.
+    pub peer: SocketAddr,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Bounds that all hosts keep together.
--- /dev/null
+++ b/crates/cornelwinch_relay/src/subscribe.rs
@@ -0,0 +1,125 @@
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use futures_util::StreamExt;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::Message;
+
+use crate::core::Shared;
+use crate::feed::{BEAT_EVERY, FeedMessage};
+
+/// Longest wait for a connection to a source and its first message.
+const HELLO_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Silence after which a source counts as lost: two beats and the way.
+const SILENCE: Duration = BEAT_EVERY.saturating_mul(2).saturating_add(BEAT_EVERY);
+
+/// Age of the source's last word of the store from which it does not know what
+/// is in force: a watch waits up to 2.8 s.
+const STALE: Duration = Duration::from_millis(3_700);
+
+/// Why a source feeds this host no longer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum FeedEnd {
+    /// It could not be reached.
+    Unreachable,
+    /// It does not follow the store.
+    NoSource,
+    /// The store does not answer it.
+    Stale,
+    /// Its connection ended or went silent.
+    Lost,
+    /// It sent something that cannot be read.
+    Malformed,
+}
+
+/// A connection to a source that has said that it is one.
+#[derive(Debug)]
+pub(crate) struct Subscription {
+    socket: WebSocketStream<TcpStream>,
+}
+
+impl Subscription {
+    /// Connects to a host and waits for its first message.
+    pub(crate) async fn open(addr: SocketAddr) -> Result<Self, FeedEnd> {
+        let open = async {
+            let stream = TcpStream::connect(addr)
+                .await
+                .map_err(|_| FeedEnd::Unreachable)?;
+            stream.set_nodelay(true).map_err(|_| FeedEnd::Unreachable)?;
+            let url = format!("ws://{addr}/feed");
+            let (socket, _) = tokio_tungstenite::client_async(url, stream)
+                .await
+                .map_err(|_| FeedEnd::Unreachable)?;
+            let mut subscription = Self { socket };
+            match subscription.next().await? {
+                FeedMessage::Hello {
+                    is_source: true, ..
+                } => Ok(subscription),
+                _ => Err(FeedEnd::NoSource),
+            }
+        };
+        timeout(HELLO_TIMEOUT, open)
+            .await
+            .unwrap_or(Err(FeedEnd::Unreachable))
+    }
+
+    /// Takes over what the source sends until it ends.
+    pub(crate) async fn run(mut self, shared: &Shared) -> FeedEnd {
+        loop {
+            match timeout(SILENCE, self.next()).await {
+                Ok(Ok(message)) => {
+                    if let Err(end) = take(shared, message) {
+                        return end;
+                    }
+                }
+                Ok(Err(end)) => return end,
+                Err(_) => return FeedEnd::Lost,
+            }
+        }
+    }
+
+    async fn next(&mut self) -> Result<FeedMessage, FeedEnd> {
+        loop {
+            match self.socket.next().await {
+                Some(Ok(Message::Binary(buf))) => {
+                    return ciborium::from_reader(buf.as_ref()).map_err(|error| {
+                        log::warn!("event=feed_unreadable reason=\"{error}\"");
+                        FeedEnd::Malformed
+                    });
+                }
+                Some(Ok(Message::Ping(_) | Message::Pong(_))) => {}
+                _ => return Err(FeedEnd::Lost),
+            }
+        }
+    }
+}
+
+fn take(shared: &Shared, message: FeedMessage) -> Result<(), FeedEnd> {
+    match message {
+        FeedMessage::Hello { .. } => {}
+        FeedMessage::List {
+            kind,
+            revision,
+            items,
+        } => shared.take_list(kind, revision, items, None),
+        FeedMessage::Changes {
+            kind,
+            revision,
+            items,
+            grace_ms,
+        } => {
+            let grace = grace_ms.map(Duration::from_millis);
+            shared.take_changes(kind, revision, items, grace);
+        }
+        FeedMessage::Beat { age_ms, is_failing } => {
+            if is_failing || Duration::from_millis(age_ms) > STALE {
+                return Err(FeedEnd::Stale);
+            }
+            shared.record_feed(Instant::now());
+        }
+    }
+    Ok(())
+}
--- a/crates/cornelwinch_routing/src/desired.rs
+++ b/crates/cornelwinch_routing/src/desired.rs
@@ -1,9 +1,10 @@
 use std::time::Duration;
 
 use cornelwinch_types::Name;
+use serde::{Deserialize, Serialize};
 
 /// One version of the routes and services that operators want in force.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct DesiredState {
     /// Rises with each change, in uneven steps.
     pub version: u64,
@@ -16,7 +17,7 @@
 }
 
 /// What may be repeated on a route.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RouteKind {
     /// Requests may run more than once.
     Idempotent,
@@ -25,7 +26,7 @@
 }
 
 /// A rule that sends the requests of one host and path prefix to upstreams.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// Name for logs and metrics.
     pub name: Name,
@@ -48,7 +49,7 @@
 }
 
 /// Where the requests of a route go.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Target {
     /// To one upstream of this service.
     Service(Name),
@@ -59,7 +60,7 @@
 }
 
 /// How the parts of a scattered request make up its answer.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct GatherPlan {
     /// The services that are the shards.
     pub shards: Vec<Name>,
@@ -81,7 +82,7 @@
 }
 
 /// A group of equal upstreams.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Name that upstream entries carry.
     pub name: Name,
@@ -95,7 +96,7 @@
 }
 
 /// Bounds on what callers send.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Largest request head in bytes.
     pub header_bytes: usize,
--- a/crates/cornelwinch_routing/src/fleet.rs
+++ b/crates/cornelwinch_routing/src/fleet.rs
@@ -2,6 +2,7 @@
 use std::time::{Duration, Instant};
 
 use cornelwinch_types::{Name, SortedMap};
+use serde::{Deserialize, Serialize};
 
 use crate::health::ratio;
 use crate::{ColdRate, Health, LegSign};
@@ -26,7 +27,7 @@
 }
 
 /// What an upstream says of its readiness.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum UpstreamState {
     /// It takes requests.
     Ready,
@@ -35,7 +36,7 @@
 }
 
 /// One upstream as it registered itself.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct UpstreamEntry {
     /// Name under which it is registered.
     pub name: Name,
--- a/crates/cornelwinch_routing/src/lib.rs
+++ b/crates/cornelwinch_routing/src/lib.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod health;
 mod merge;
+mod sources;
 mod split;
 mod table;
 
@@ -19,5 +20,6 @@
 pub use fleet::{Fleet, UpstreamEntry, UpstreamId, UpstreamShare, UpstreamState, UpstreamView};
 pub use health::{Health, LegSign};
 pub use merge::{PartMerge, RECORD_BYTES};
+pub use sources::{HostEntry, source_count, source_order};
 pub use split::SplitCursor;
 pub use table::{Lookup, RouteTable};
