--- a/crates/cornelwinch_relay/src/core.rs
+++ b/crates/cornelwinch_relay/src/core.rs
@@ -256,13 +256,16 @@
             return false;
         };
         let now = Instant::now();
-        !self.draining.get()
-            && !core.fleet.is_empty()
-            && !(core.fleet.is_isolated(now, &self.settings.borrow().zone)
-                && table
-                    .routes()
-                    .iter()
-                    .any(|route| !core.can_serve(now, route)))
+        if self.draining.get() || core.fleet.is_empty() {
+            return false;
+        }
+        let can_serve_all = || {
+            table
+                .routes()
+                .iter()
+                .all(|route| core.can_serve(now, route))
+        };
+        !core.fleet.is_isolated(now, &self.settings.borrow().zone) || can_serve_all()
     }
 
     /// Chooses an upstream of a service for the next leg.
--- a/crates/cornelwinch_relay/src/leg.rs
+++ b/crates/cornelwinch_relay/src/leg.rs
@@ -101,9 +101,11 @@
 ) -> LegEnd {
     let token = shared.next_token();
     let now = Instant::now();
-    let mut core = shared.core.borrow_mut();
-    core.fleet.leg_sent(now, upstream.id, token, typical);
-    drop(core);
+    shared
+        .core
+        .borrow_mut()
+        .fleet
+        .leg_sent(now, upstream.id, token, typical);
     let mut watched = Watched {
         shared: shared.clone(),
         upstream: upstream.clone(),
--- a/crates/cornelwinch_relay/src/lib.rs
+++ b/crates/cornelwinch_relay/src/lib.rs
@@ -34,4 +34,4 @@
 pub use error::RelayError;
 pub use logging::{LogHandle, open_log};
 pub use relay::{Relay, run_until_signal, spawn};
-pub use settings::{Bounds, RelaySettings};
+pub use settings::{Bounds, LogLevel, RelaySettings};
--- a/crates/cornelwinch_routing/src/budget.rs
+++ b/crates/cornelwinch_routing/src/budget.rs
@@ -83,7 +83,9 @@
 
     /// Counts a caller's request to a service.
     pub fn count_request(&mut self, now: Instant, share: &BudgetShare, service: &Name) {
-        self.slot(now, share, service).requests += 1;
+        if let Some(slot) = self.usage(now, share, service).slots.back_mut() {
+            slot.requests += 1;
+        }
     }
 
     /// Counts one repeat and returns true if the window has room for it.
@@ -100,8 +102,7 @@
         } else {
             0.0
         };
-        self.slot(now, share, service);
-        let usage = self.services.get_mut(service).expect("slot() made it");
+        let usage = self.usage(now, share, service);
         let (mut requests, mut repeats) = (0_u64, 0_u64);
         for slot in &usage.slots {
             requests += u64::from(slot.requests);
@@ -136,7 +137,8 @@
         u64::try_from(elapsed).unwrap_or(u64::MAX)
     }
 
-    fn slot(&mut self, now: Instant, share: &BudgetShare, service: &Name) -> &mut Slot {
+    /// Counts of a service, with a slot for the present at the end.
+    fn usage(&mut self, now: Instant, share: &BudgetShare, service: &Name) -> &mut Usage {
         let index = self.index(now, share);
         let usage = self
             .services
@@ -155,6 +157,6 @@
                 ..Slot::default()
             });
         }
-        usage.slots.back_mut().expect("it was just pushed")
+        usage
     }
 }
--- a/crates/cornelwinch_routing/src/merge.rs
+++ b/crates/cornelwinch_routing/src/merge.rs
@@ -31,8 +31,8 @@
 
     /// Adds the records of a part; a shorter remainder is no record.
     pub fn add(&mut self, body: &[u8]) {
-        for chunk in body.chunks_exact(RECORD_BYTES) {
-            let record: [u8; RECORD_BYTES] = chunk.try_into().expect("chunks have this length");
+        let (records, _remainder) = body.as_chunks::<RECORD_BYTES>();
+        for &record in records {
             if self.least_first.len() < self.top {
                 self.least_first.push(Reverse(record));
             } else if self
