--- a/crates/cornelwinch_relay/src/fetch.rs
+++ b/crates/cornelwinch_relay/src/fetch.rs
@@ -191,9 +191,10 @@
             LegEnd::Disconnected => {
                 self.lost = Some("disconnected");
                 let now = Instant::now();
+                let (print, attempt) = (self.plan.print, self.out.attempt);
                 if core
                     .marks
-                    .record_disconnect(now, self.plan.print, upstream.id.get())
+                    .record_disconnect(now, print, attempt, upstream.id.get())
                 {
                     log::warn!(
                         "event=request_marked id={:?} route={} reason=crashes_upstreams",
--- a/crates/cornelwinch_relay/src/handle.rs
+++ b/crates/cornelwinch_relay/src/handle.rs
@@ -178,6 +178,7 @@
         headers,
         body,
         request_id,
+        attempt: shared.next_token(),
         deadline,
         leg_deadline,
         fresh_connection: route.kind == cornelwinch_routing::RouteKind::NonIdempotent,
--- a/crates/cornelwinch_relay/src/leg.rs
+++ b/crates/cornelwinch_relay/src/leg.rs
@@ -26,6 +26,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) request_id: HeaderValue,
+    /// Number of the caller's attempt within this process.
+    pub(crate) attempt: u64,
     pub(crate) deadline: Instant,
     /// End of the time that upstreams are given.
     pub(crate) leg_deadline: Instant,
