--- a/crates/cornelwinch_relay/src/handle.rs
+++ b/crates/cornelwinch_relay/src/handle.rs
@@ -22,7 +22,7 @@
 
 /// Time that upstreams are given for a part, in goals of the route. A part that
 /// is later helps few answers, and an upstream drops it from its queue.
-const LEG_GOALS: f64 = 1.0;
+const LEG_GOALS: f64 = 0.92;
 
 /// Counts a request for as long as it is being answered.
 struct Active<'a>(&'a Shared);
