Pause after each watch that brought changes

Ruled out: one source in place of two (an outage of it stops all feeds). Change: 250 ms of pause after an answer with changes.

--- a/crates/cornelwinch_relay/src/follow.rs
+++ b/crates/cornelwinch_relay/src/follow.rs
@@ -17,6 +17,10 @@
 /// Time beyond the wait after which a watch counts as lost.
 const WATCH_MARGIN: Duration = Duration::from_millis(400);
 
+/// Pause after a watch that brought changes. Upstreams that start or leave
+/// together then come in one answer, and each call has a price.
+const WATCH_PAUSE: Duration = Duration::from_millis(250);
+
 /// Longest wait for a list.
 pub(crate) const LIST_WAIT: Duration = Duration::from_millis(1_500);
 
@@ -68,9 +72,17 @@
             None => list(&shared, &mut client, kind, false)
                 .await
                 .map(|page| take_list(&shared, kind, page)),
-            Some(revision) => watch(&shared, &mut client, kind, revision)
-                .await
-                .map(|page| take_changes(&shared, kind, page)),
+            Some(revision) => match watch(&shared, &mut client, kind, revision).await {
+                Ok(page) => {
+                    let is_quiet = page.items.is_empty();
+                    let next = take_changes(&shared, kind, page);
+                    if !is_quiet {
+                        sleep(WATCH_PAUSE).await;
+                    }
+                    Ok(next)
+                }
+                Err(error) => Err(error),
+            },
         };
         match step {
             Ok(next) => {
