Derive the wait of a watch from the time to recover; check settings strictly

Cause: the wait of 2.8 s was fixed for the 4 s of today's sites; two bounds of the settings were read and not used; a missing comma in the settings was accepted.

--- a/crates/cornelwinch_config/src/lib.rs
+++ b/crates/cornelwinch_config/src/lib.rs
@@ -14,6 +14,7 @@
     UpstreamSpec, ZoneSpec,
 };
 pub use kind::{Kind, UnknownKind};
+pub use reader::SYNTAX;
 pub use settings::{LimitSettings, LogSettings, RoutingSetting, Settings, SettingsError};
 pub use state::{ConfigState, RejectedEntry};
 pub use validate::{ValidationError, check_spec, validate};
--- a/crates/cornelwinch_config/src/reader.rs
+++ b/crates/cornelwinch_config/src/reader.rs
@@ -9,7 +9,7 @@
 use crate::SettingsError;
 
 /// JSON with comments and trailing commas, and no other extension.
-pub(crate) const SYNTAX: ParseOptions = ParseOptions {
+pub const SYNTAX: ParseOptions = ParseOptions {
     allow_comments: true,
     allow_loose_object_property_names: false,
     allow_trailing_commas: true,
--- a/crates/cornelwinch_relay/src/core.rs
+++ b/crates/cornelwinch_relay/src/core.rs
@@ -141,6 +141,15 @@
         self.fed.set(Some(now));
     }
 
+    /// Time since this host last knew what the store holds.
+    pub(crate) fn knowledge_age(&self, now: Instant) -> Option<Duration> {
+        if self.is_source() {
+            return self.condition.age(now);
+        }
+        let fed = self.fed.get()?;
+        Some(now.saturating_duration_since(fed))
+    }
+
     /// Takes over a whole list of a kind, puts what it changes in force and passes
     /// it on.
     pub(crate) fn take_list(
--- a/crates/cornelwinch_relay/src/follow.rs
+++ b/crates/cornelwinch_relay/src/follow.rs
@@ -9,13 +9,8 @@
 use crate::dialect::{Kind, Page};
 use crate::store::{StoreClient, StoreError};
 
-/// Longest time that a watch waits. A connection that went silent is noticed
-/// after this time and the margin, which together stay below the 4 s for which
-/// the platform allows a host to recover from it.
-const WATCH_WAIT: Duration = Duration::from_millis(2_800);
-
 /// Time beyond the wait after which a watch counts as lost.
-const WATCH_MARGIN: Duration = Duration::from_millis(400);
+pub(crate) const WATCH_MARGIN: Duration = Duration::from_millis(400);
 
 /// Pause after a watch that brought changes. Upstreams that start or leave
 /// together then come in one answer, and each call has a price.
@@ -190,8 +185,9 @@
     revision: u64,
 ) -> Result<Page, StoreError> {
     shared.core.borrow_mut().metrics.store_calls += 1;
-    let path = (shared.dialect.store.watch_path)(kind, revision, WATCH_WAIT);
-    let body = client.get(&path, WATCH_WAIT + WATCH_MARGIN).await?;
+    let wait = shared.settings.borrow().bounds.watch_wait();
+    let path = (shared.dialect.store.watch_path)(kind, revision, wait);
+    let body = client.get(&path, wait + WATCH_MARGIN).await?;
     (shared.dialect.store.decode_events)(kind, &body)
         .map_err(|reason| StoreError::Decode { reason })
 }
--- a/crates/cornelwinch_relay/src/settings.rs
+++ b/crates/cornelwinch_relay/src/settings.rs
@@ -9,6 +9,9 @@
 use crate::RelayError;
 use crate::error::ReadSettingsSnafu;
 
+/// Share of the time to recover for which a watch waits.
+const WATCH_SHARE: f64 = 0.7;
+
 /// Settings of a relay, in JSON with comments.
 ///
 /// ```
@@ -21,7 +24,7 @@
 ///     "peer": "127.0.0.1:8083",
 ///     "store": "127.0.0.1:7000",
 ///     "bounds": {
-///         "drain_ms": 3000, "grace_s": 6, "config_apply_ms": 3000,
+///         "stable_ms": 4000, "grace_s": 6,
 ///         "repeat_ratio": 0.2, "repeat_window_s": 10, "repeat_slack": 56,
 ///         "cold_overshoot": 1.5, "cold_slack": 5
 ///     }
@@ -57,12 +60,11 @@
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Bounds {
-    /// Time within which a leaving upstream gets nothing new, in milliseconds.
-    pub drain_ms: u64,
+    /// Time that a host has to recover from a disturbance before the other bounds
+    /// count, in milliseconds.
+    pub stable_ms: u64,
     /// Time from the request to stop until the process is killed, in seconds.
     pub grace_s: f64,
-    /// Time within which a configuration is in force, in milliseconds.
-    pub config_apply_ms: u64,
     /// Repeats allowed for each request of the window.
     pub repeat_ratio: f64,
     /// Length of the sliding window for repeats, in seconds.
@@ -111,7 +113,7 @@
             reason,
         };
         let value: serde_json::Value =
-            jsonc_parser::parse_to_serde_value(text, &jsonc_parser::ParseOptions::default())
+            jsonc_parser::parse_to_serde_value(text, &cornelwinch_config::SYNTAX)
                 .map_err(|error| fail(error.to_string()))?;
         let settings: Self =
             serde_json::from_value(value).map_err(|error| fail(error.to_string()))?;
@@ -135,12 +137,22 @@
                 return Err(format!("bounds.{key} must be 0 or more, not {value}"));
             }
         }
+        if self.stable_ms == 0 {
+            return Err("bounds.stable_ms must be above 0".to_owned());
+        }
         if self.repeat_window_s == 0.0 {
             return Err("bounds.repeat_window_s must be above 0".to_owned());
         }
         Ok(())
     }
 
+    /// Longest time that a watch of the store waits. A connection that went silent
+    /// is noticed soon after it, and what it missed is read again while the host
+    /// may still recover.
+    pub fn watch_wait(&self) -> Duration {
+        Duration::from_millis(self.stable_ms).mul_f64(WATCH_SHARE)
+    }
+
     /// Time from the request to stop until the process is killed.
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
--- a/crates/cornelwinch_relay/src/subscribe.rs
+++ b/crates/cornelwinch_relay/src/subscribe.rs
@@ -9,6 +9,7 @@
 
 use crate::core::Shared;
 use crate::feed::{BEAT_EVERY, FeedMessage};
+use crate::follow::WATCH_MARGIN;
 
 /// Longest wait for a connection to a source and its first message.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(300);
@@ -16,9 +17,9 @@
 /// Silence after which a source counts as lost: two beats and the way.
 const SILENCE: Duration = BEAT_EVERY.saturating_mul(2).saturating_add(BEAT_EVERY);
 
-/// Age of the source's last word of the store from which it does not know what
-/// is in force: a watch waits up to 2.8 s.
-const STALE: Duration = Duration::from_millis(3_700);
+/// Age of the source's last word of the store, beyond a watch and its margin,
+/// from which it does not know what is in force.
+const STALE_MARGIN: Duration = Duration::from_millis(500);
 
 /// Why a source feeds this host no longer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -115,7 +116,9 @@
             shared.take_changes(kind, revision, items, grace);
         }
         FeedMessage::Beat { age_ms, is_failing } => {
-            if is_failing || Duration::from_millis(age_ms) > STALE {
+            let wait = shared.settings.borrow().bounds.watch_wait();
+            let stale = wait + WATCH_MARGIN + STALE_MARGIN;
+            if is_failing || Duration::from_millis(age_ms) > stale {
                 return Err(FeedEnd::Stale);
             }
             shared.record_feed(Instant::now());
