Test two rules that nothing held

Cause: with these rules taken out, the tests of their crates passed: a host that has not joined has no share of a customer's rate (admission), an answer to another attempt does not finish a ticket as done (tickets). Change: host_that_has_not_joined_lends_nothing (through a pull of the home host: 49.5 requests/s lent without the rule) and mismatched_answer_does_not_finish_as_done; each seen failing without its rule. Ruled out: a test through admission of requests only, which the share of slots refuses first. Conclusion: both rules stay.

--- a/crates/cornelwinch_admission/tests/loan_timing.rs
+++ b/crates/cornelwinch_admission/tests/loan_timing.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use cornelwinch_admission::{
-    Admission, AdmissionAction, AdmissionConfig, AdmissionMsg, Credential,
+    Admission, AdmissionAction, AdmissionConfig, AdmissionMsg, Credential, Resource,
 };
 use cornelwinch_types::Name;
 use network::config;
@@ -87,3 +87,44 @@
         "{own} in 400 ms with its own share"
     );
 }
+
+/// Guards against a host that lends a share which it does not have yet: until the
+/// others have made theirs smaller, the rate would be given out twice.
+#[test]
+fn host_that_has_not_joined_lends_nothing() {
+    let start = Instant::now();
+    let names: [Name; 2] = ["host-0".into(), "host-1".into()];
+    let cfg = AdmissionConfig::default();
+    let open = |at: Instant, name: &Name| {
+        let rng = fastrand::Rng::with_seed(1);
+        let mut host = Admission::open(at, name.clone(), cfg, rng);
+        host.set_config(&config(100.0, 2, 50, 100));
+        host.set_hosts(at, &names);
+        host
+    };
+    let home = usize::from(*open(start, &names[0]).home("school") == names[1]);
+    let mut home_host = open(start, &names[home]);
+    let asked = start + Duration::from_secs(10);
+    admitted(&mut home_host, asked - 200 * MS, asked);
+    let mut out = Vec::new();
+    home_host.on_wake(asked, &mut out);
+    let pull = out.into_iter().find_map(|action| {
+        let AdmissionAction::Send { msg, .. } = action;
+        let is_rate = msg.portion().resource == Resource::Rate;
+        (is_rate && matches!(msg, AdmissionMsg::PullShare(_))).then_some(msg)
+    });
+    let pull = pull.expect("the home host asks for the other's share of the rate");
+    for (opened, lends) in [(asked, false), (start, true)] {
+        let mut lender = open(opened, &names[1 - home]);
+        let mut out = Vec::new();
+        lender.on_wake(asked, &mut Vec::new());
+        lender.on_message(asked + MS, &names[home], &pull, &mut out);
+        let AdmissionAction::Send { msg, .. } = &out[0];
+        let amount = msg.portion().amount;
+        assert_eq!(
+            amount > 0.0,
+            lends,
+            "{amount} from a host opened at {opened:?}"
+        );
+    }
+}
--- a/crates/cornelwinch_tickets/tests/at_most_once.rs
+++ b/crates/cornelwinch_tickets/tests/at_most_once.rs
@@ -329,3 +329,20 @@
     // The last refusal ends the run without another leg.
     assert_eq!(run.next_wake(), None);
 }
+
+/// Guards against a ticket that ends with the answer to another attempt.
+#[test]
+fn mismatched_answer_does_not_finish_as_done() {
+    let now = Instant::now();
+    let mut out = Vec::new();
+    let spec = TicketRunSpec {
+        template: template(),
+        replicas: vec!["up-1".into()],
+        deadline: now + 100 * MS,
+    };
+    let mut run = TicketRun::start(now, spec, || AttemptId(7), &mut out);
+    assert!(matches!(out.pop(), Some(TicketAction::Send(_))));
+    run.on_leg(now, AttemptId(7), answer(AttemptId(8)), &mut out);
+    let finished = TicketAction::Finish(TicketResult::unknown("mismatched"));
+    assert_eq!(out, [finished]);
+}
