List again after a watch that broke

In the bad plays both sources start a new watch from the old revision at 8.3 s, while the store drops its history: it hears nothing and ends after 2.8 s, so the version that names the new shards comes 2.8 s late. Ruled out: load (the difference is in the log: version 11 in force at 11.26 s against 8.51 s); the feed (its hosts follow the source at once). Change: any failed call is followed by a list. Test cut_watch_is_followed_by_a_list, seen failing (2.84 s) without it.

--- a/crates/cornelwinch_relay/src/follow.rs
+++ b/crates/cornelwinch_relay/src/follow.rs
@@ -92,9 +92,9 @@
             }
             Err(error) => {
                 log::info!("event=store_failed kind={kind:?} revision={revision:?} {error}");
-                if matches!(error, StoreError::Decode { .. }) {
-                    revision = None;
-                }
+                // A watch from an old revision may hear nothing while the store
+                // drops its history, so the present state is listed.
+                revision = None;
                 shared.condition.record_failure(Instant::now());
                 let jitter = {
                     let mut core = shared.core.borrow_mut();
