--- a/crates/cornelwinch_lab/src/lib.rs
+++ b/crates/cornelwinch_lab/src/lib.rs
@@ -19,4 +19,5 @@
 pub use faults::{FaultLab, IdKind, wait_until};
 pub use host::{HostProcess, HostProgram};
 pub use load::{Load, LoadReport, poll_until, query};
+pub use ports::free_addrs;
 pub use shape::{DeploymentShape, SearchShape, amman, tunis};
--- a/crates/cornelwinch_lab/src/ports.rs
+++ b/crates/cornelwinch_lab/src/ports.rs
@@ -19,7 +19,17 @@
 
 /// Finds free loopback ports, for TCP and for UDP. None is given twice by one
 /// process.
-pub(crate) fn free_addrs(count: usize) -> Result<Vec<SocketAddr>, LabError> {
+///
+/// # Errors
+///
+/// Fails if too few ports are free.
+///
+/// ```
+/// let addrs = cornelwinch_lab::free_addrs(2)?;
+/// assert_ne!(addrs[0], addrs[1]);
+/// # Ok::<(), cornelwinch_lab::LabError>(())
+/// ```
+pub fn free_addrs(count: usize) -> Result<Vec<SocketAddr>, LabError> {
     let mut found = Vec::with_capacity(count);
     for _ in 0..PORTS {
         if found.len() == count {
