Read the store at once after a restart; leave it after a source's first beat

Ruled out: the start of the process (20 ms to event=started) and the list of hosts (one call). Change: a host that finds itself registered follows the store from the start and looks for a source beside it; a source counts from its first beat. Two unused bits of sync.rs are gone.

--- a/crates/cornelwinch_relay/src/subscribe.rs
+++ b/crates/cornelwinch_relay/src/subscribe.rs
@@ -67,6 +67,21 @@
             .unwrap_or(Err(FeedEnd::Unreachable))
     }
 
+    /// Takes over the lists of the source until its first beat.
+    pub(crate) async fn settle(&mut self, shared: &Shared) -> Result<(), FeedEnd> {
+        loop {
+            let message = match timeout(SILENCE, self.next()).await {
+                Ok(message) => message?,
+                Err(_) => return Err(FeedEnd::Lost),
+            };
+            let is_beat = matches!(message, FeedMessage::Beat { .. });
+            take(shared, message)?;
+            if is_beat {
+                return Ok(());
+            }
+        }
+    }
+
     /// Takes over what the source sends until it ends.
     pub(crate) async fn run(mut self, shared: &Shared) -> FeedEnd {
         loop {
--- a/crates/cornelwinch_relay/src/sync.rs
+++ b/crates/cornelwinch_relay/src/sync.rs
@@ -1,5 +1,5 @@
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use cornelwinch_routing::{HostEntry, source_count, source_order};
 use hyper::StatusCode;
@@ -8,7 +8,7 @@
 use crate::core::Shared;
 use crate::follow::{Following, LIST_WAIT, list_hosts};
 use crate::store::{StoreClient, StoreError};
-use crate::subscribe::{FeedEnd, Subscription};
+use crate::subscribe::Subscription;
 
 /// Time within which hosts that start together have registered.
 const HOSTS_SETTLE: Duration = Duration::from_millis(1_500);
@@ -19,52 +19,52 @@
 /// Hosts beyond the usual sources that are asked in one search.
 const SEARCH_FURTHER: usize = 3;
 
-/// Time from which a feed counts as having worked, so that the search starts
-/// with the preferred source again.
-const FEED_WORKED: Duration = Duration::from_secs(1);
-
 /// Keeps this host up to date: from a source if there is one, from the store
 /// otherwise or where this host is itself a source.
 pub(crate) async fn keep_in_sync(shared: Rc<Shared>) {
     let me = shared.own_entry();
-    let mut client = StoreClient::new(me_store(&shared));
+    let store = shared.settings.borrow().store;
+    let mut client = StoreClient::new(store);
+    let mut following: Option<Following> = None;
     if register(&shared, &mut client, &me).await {
         sleep(HOSTS_SETTLE).await;
+    } else {
+        // Callers may be waiting for a host that starts again.
+        following = Some(follow_store(&shared));
     }
     list_hosts(&shared, &mut client, false).await;
     drop(client);
-    let mut following: Option<Following> = None;
     loop {
         let sources = candidates(&shared.hosts.borrow(), &me);
         for source in sources {
-            let subscription = match Subscription::open(source.peer).await {
+            let mut subscription = match Subscription::open(source.peer).await {
                 Ok(subscription) => subscription,
                 Err(end) => {
                     log::info!("event=source_refused peer={} reason={end:?}", source.name);
                     continue;
                 }
             };
+            if let Err(end) = subscription.settle(&shared).await {
+                log::info!("event=source_refused peer={} reason={end:?}", source.name);
+                continue;
+            }
             log::info!("event=source_found peer={}", source.name);
             following = None;
             shared.set_source(false);
-            let start = Instant::now();
             let end = subscription.run(&shared).await;
             log::info!("event=source_lost peer={} reason={end:?}", source.name);
-            if end == FeedEnd::Lost && start.elapsed() >= FEED_WORKED {
-                continue;
-            }
         }
         if following.is_none() {
-            following = Some(Following::spawn(&shared));
-            shared.set_source(true);
+            following = Some(follow_store(&shared));
         }
         let jitter = shared.core.borrow_mut().rng.f64() * 0.5 + 0.75;
         sleep(SEARCH_EVERY.mul_f64(jitter)).await;
     }
 }
 
-fn me_store(shared: &Shared) -> std::net::SocketAddr {
-    shared.settings.borrow().store
+fn follow_store(shared: &Rc<Shared>) -> Following {
+    shared.set_source(true);
+    Following::spawn(shared)
 }
 
 /// Registers this host. Returns true if it was not registered before.
