Tell other hosts of requests that crash upstreams

Cause: each host counted crashes for itself. Ruled out: an object in the store for each mark (never expires by itself, one more watch for each source); passing on each disconnect (thousands a second while upstreams lose answers). Change: a host reports a disconnect that no answer of the request followed within 300 ms; the sources get reports on a path of their own and feed them to the others. An answer clears the request as before.

--- a/crates/cornelwinch_relay/src/core.rs
+++ b/crates/cornelwinch_relay/src/core.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use cornelwinch_routing::{
-    BudgetShare, CrashMarks, Fleet, GatherPlan, HostEntry, Repeat, RetryBudget, Route, RouteTable,
-    Service, SplitCursor, Target, UpstreamId, UpstreamShare, UpstreamView,
+    BudgetShare, CrashMarks, CrashReport, Fleet, GatherPlan, HostEntry, Repeat, RetryBudget, Route,
+    RouteTable, Service, SplitCursor, Target, UpstreamId, UpstreamShare, UpstreamView,
 };
 use cornelwinch_types::{Name, SortedMap};
 use tokio::sync::broadcast;
@@ -210,7 +210,7 @@
     }
 
     /// Passes a message on to the hosts that this one feeds.
-    fn publish(&self, message: &FeedMessage) {
+    pub(crate) fn publish(&self, message: &FeedMessage) {
         if self.feed.receiver_count() > 0 {
             // Without a receiver there is nobody to feed.
             let _ = self.feed.send(encode(message));
@@ -248,6 +248,22 @@
         granted
     }
 
+    /// Takes over what other hosts have seen of requests that broke upstreams.
+    pub(crate) fn take_reports(&self, reports: &[CrashReport]) {
+        let now = Instant::now();
+        let mut core = self.core.borrow_mut();
+        for report in reports {
+            if core.marks.record_report(now, report) {
+                log::warn!(
+                    "event=request_marked print={:?} reason=reported upstreams={} attempts={}",
+                    report.print,
+                    report.upstreams.len(),
+                    report.attempts.len()
+                );
+            }
+        }
+    }
+
     /// Number of shards that some upstream serves.
     pub(crate) fn served_shards(&self, plan: &GatherPlan) -> usize {
         let core = self.core.borrow();
--- a/crates/cornelwinch_relay/src/feed.rs
+++ b/crates/cornelwinch_relay/src/feed.rs
@@ -2,6 +2,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use cornelwinch_routing::CrashReport;
 use cornelwinch_types::Name;
 use futures_util::{SinkExt, StreamExt};
 use serde::{Deserialize, Serialize};
@@ -9,7 +10,8 @@
 use tokio::sync::broadcast::error::RecvError;
 use tokio::time::{interval, timeout};
 use tokio_tungstenite::tungstenite::Message;
-use tokio_tungstenite::{WebSocketStream, accept_async};
+use tokio_tungstenite::tungstenite::handshake::server::{Request, Response};
+use tokio_tungstenite::{WebSocketStream, accept_hdr_async};
 
 use crate::core::Shared;
 use crate::dialect::{Item, Kind};
@@ -52,6 +54,8 @@
         /// How much longer removed entries may only have expired.
         grace_ms: Option<u64>,
     },
+    /// What hosts have seen of requests that broke upstreams.
+    Crashes { reports: Vec<CrashReport> },
     /// The source lives.
     Beat {
         /// Time since the store answered the source.
@@ -68,15 +72,21 @@
     buf.into()
 }
 
-/// Accepts hosts that want to be fed.
+/// Path on which a host is fed.
+pub(crate) const FEED_PATH: &str = "/feed";
+
+/// Path on which a host reports to a source what it has seen.
+pub(crate) const REPORT_PATH: &str = "/reports";
+
+/// Accepts hosts that want to be fed or to report.
 pub(crate) async fn serve_feed(shared: Rc<Shared>, listener: TcpListener) {
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
                 let shared = shared.clone();
                 tokio::task::spawn_local(async move {
-                    let reason = feed_host(&shared, stream).await;
-                    log::info!("event=feed_ended peer={peer} reason=\"{reason}\"");
+                    let reason = serve_host(&shared, stream).await;
+                    log::info!("event=peer_ended peer={peer} reason=\"{reason}\"");
                 });
             }
             Err(error) => {
@@ -87,16 +97,53 @@
     }
 }
 
-/// Feeds one host until its connection ends; returns why it ended.
-async fn feed_host(shared: &Shared, stream: TcpStream) -> String {
+/// Serves one host until its connection ends; returns why it ended.
+async fn serve_host(shared: &Shared, stream: TcpStream) -> String {
     if let Err(error) = stream.set_nodelay(true) {
         return error.to_string();
     }
-    let mut socket = match timeout(SEND_TIMEOUT, accept_async(stream)).await {
+    let mut path = String::new();
+    #[expect(clippy::result_large_err, reason = "the library sets the type")]
+    let read_path = |request: &Request, response: Response| {
+        request.uri().path().clone_into(&mut path);
+        Ok(response)
+    };
+    let socket = match timeout(SEND_TIMEOUT, accept_hdr_async(stream, read_path)).await {
         Ok(Ok(socket)) => socket,
         Ok(Err(error)) => return error.to_string(),
         Err(_) => return "handshake_timeout".to_owned(),
     };
+    match path.as_str() {
+        FEED_PATH => feed_host(shared, socket).await,
+        REPORT_PATH => hear_reports(shared, socket).await,
+        _ => format!("no_path_{path}"),
+    }
+}
+
+/// Takes over the reports of one host and passes them on to those that this host
+/// feeds.
+async fn hear_reports(shared: &Shared, mut socket: WebSocketStream<TcpStream>) -> String {
+    loop {
+        let buf = match timeout(SEND_TIMEOUT, socket.next()).await {
+            Ok(Some(Ok(Message::Binary(buf)))) => buf,
+            Ok(Some(Ok(Message::Ping(_) | Message::Pong(_)))) => continue,
+            Ok(Some(Err(error))) => return error.to_string(),
+            Ok(Some(Ok(_)) | None) => return "reported".to_owned(),
+            Err(_) => return "silent".to_owned(),
+        };
+        match ciborium::from_reader(buf.as_ref()) {
+            Ok(FeedMessage::Crashes { reports }) => {
+                shared.take_reports(&reports);
+                shared.publish(&FeedMessage::Crashes { reports });
+            }
+            Ok(_) => return "no_report".to_owned(),
+            Err(error) => return error.to_string(),
+        }
+    }
+}
+
+/// Feeds one host.
+async fn feed_host(shared: &Shared, mut socket: WebSocketStream<TcpStream>) -> String {
     let mut changes = shared.feed.subscribe();
     for message in first_messages(shared) {
         if let Err(reason) = send(&mut socket, encode(&message)).await {
@@ -159,7 +206,11 @@
     }
 }
 
-async fn send(socket: &mut WebSocketStream<TcpStream>, buf: Bytes) -> Result<(), String> {
+/// Sends one message to a host.
+pub(crate) async fn send(
+    socket: &mut WebSocketStream<TcpStream>,
+    buf: Bytes,
+) -> Result<(), String> {
     match timeout(SEND_TIMEOUT, socket.send(Message::Binary(buf))).await {
         Ok(Ok(())) => Ok(()),
         Ok(Err(error)) => Err(error.to_string()),
--- a/crates/cornelwinch_relay/src/fetch.rs
+++ b/crates/cornelwinch_relay/src/fetch.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use cornelwinch_routing::{Repeat, RequestPrint, Route, UpstreamId, UpstreamView};
-use cornelwinch_types::Name;
+use cornelwinch_types::{Fingerprint, Name};
 use futures_util::StreamExt;
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::FuturesUnordered;
@@ -192,10 +192,8 @@
                 self.lost = Some("disconnected");
                 let now = Instant::now();
                 let (print, attempt) = (self.plan.print, self.out.attempt);
-                if core
-                    .marks
-                    .record_disconnect(now, print, attempt, upstream.id.get())
-                {
+                let upstream = Fingerprint::of_bytes(b"upstream", upstream.name.as_bytes());
+                if core.marks.record_disconnect(now, print, attempt, upstream) {
                     log::warn!(
                         "event=request_marked id={:?} route={} reason=crashes_upstreams",
                         self.out.request_id,
--- a/crates/cornelwinch_relay/src/handle.rs
+++ b/crates/cornelwinch_relay/src/handle.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use cornelwinch_routing::{Lookup, RequestPrint, Route, RouteTable, Target};
+use cornelwinch_types::Fingerprint;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
@@ -177,8 +178,8 @@
         uri,
         headers,
         body,
+        attempt: Fingerprint::of_bytes(b"attempt", request_id.as_bytes()),
         request_id,
-        attempt: shared.next_token(),
         deadline,
         leg_deadline,
         fresh_connection: route.kind == cornelwinch_routing::RouteKind::NonIdempotent,
--- a/crates/cornelwinch_relay/src/leg.rs
+++ b/crates/cornelwinch_relay/src/leg.rs
@@ -3,6 +3,7 @@
 
 use bytes::Bytes;
 use cornelwinch_routing::{Fleet, LegSign, UpstreamView};
+use cornelwinch_types::Fingerprint;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{self, HeaderValue};
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
@@ -26,8 +27,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) request_id: HeaderValue,
-    /// Number of the caller's attempt within this process.
-    pub(crate) attempt: u64,
+    /// Identity of the caller's attempt, the same on each host.
+    pub(crate) attempt: Fingerprint,
     pub(crate) deadline: Instant,
     /// End of the time that upstreams are given.
     pub(crate) leg_deadline: Instant,
--- a/crates/cornelwinch_relay/src/lib.rs
+++ b/crates/cornelwinch_relay/src/lib.rs
@@ -23,6 +23,7 @@
 mod operator;
 mod pool;
 mod relay;
+mod report;
 mod scatter;
 mod settings;
 mod single;
--- a/crates/cornelwinch_relay/src/relay.rs
+++ b/crates/cornelwinch_relay/src/relay.rs
@@ -17,6 +17,7 @@
 use crate::feed::serve_feed;
 use crate::logging::{FLUSH_EVERY, LogHandle};
 use crate::operator::{answer_metrics, answer_readiness, serve_simple};
+use crate::report::report_crashes;
 use crate::settings::RelaySettings;
 use crate::sync::keep_in_sync;
 
@@ -73,6 +74,7 @@
     tokio::task::spawn_local(serve_simple(shared.clone(), readiness, answer_readiness));
     tokio::task::spawn_local(serve_simple(shared.clone(), metrics, answer_metrics));
     tokio::task::spawn_local(tidy(shared.clone()));
+    tokio::task::spawn_local(report_crashes(shared.clone()));
     tokio::task::spawn_local(probe_lost(shared.clone()));
     Ok(Relay {
         shared,
--- a/crates/cornelwinch_relay/src/subscribe.rs
+++ b/crates/cornelwinch_relay/src/subscribe.rs
@@ -8,7 +8,7 @@
 use tokio_tungstenite::tungstenite::Message;
 
 use crate::core::Shared;
-use crate::feed::{BEAT_EVERY, FeedMessage};
+use crate::feed::{BEAT_EVERY, FEED_PATH, FeedMessage};
 use crate::follow::WATCH_MARGIN;
 
 /// Longest wait for a connection to a source and its first message.
@@ -50,7 +50,7 @@
                 .await
                 .map_err(|_| FeedEnd::Unreachable)?;
             stream.set_nodelay(true).map_err(|_| FeedEnd::Unreachable)?;
-            let url = format!("ws://{addr}/feed");
+            let url = format!("ws://{addr}{FEED_PATH}");
             let (socket, _) = tokio_tungstenite::client_async(url, stream)
                 .await
                 .map_err(|_| FeedEnd::Unreachable)?;
@@ -130,6 +130,7 @@
             let grace = grace_ms.map(Duration::from_millis);
             shared.take_changes(kind, revision, items, grace);
         }
+        FeedMessage::Crashes { reports } => shared.take_reports(&reports),
         FeedMessage::Beat { age_ms, is_failing } => {
             let wait = shared.settings.borrow().bounds.watch_wait();
             let stale = wait + WATCH_MARGIN + STALE_MARGIN;
--- a/crates/cornelwinch_routing/src/crashes.rs
+++ b/crates/cornelwinch_routing/src/crashes.rs
@@ -1,6 +1,7 @@
 use std::time::{Duration, Instant};
 
 use cornelwinch_types::{Fingerprint, SortedMap};
+use serde::{Deserialize, Serialize};
 
 /// Disconnects on different upstreams after which a request is taken for the
 /// cause of their crashes.
@@ -16,16 +17,34 @@
 /// Largest number of requests that are remembered, of each kind.
 const REQUEST_LIMIT: usize = 4_096;
 
+/// Time without an answer after which a disconnect is reported to other hosts.
+/// Most requests that meet an upstream which loses an answer are answered by
+/// another one before, and nothing is reported.
+const REPORT_AFTER: Duration = Duration::from_millis(300);
+
 /// Identity of a request across attempts: its path and body.
 pub type RequestPrint = Fingerprint;
 
+/// What one host has seen of a request that broke upstreams, for the others.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// The request.
+    pub print: RequestPrint,
+    /// Upstreams that it broke.
+    pub upstreams: Vec<Fingerprint>,
+    /// Attempts in which it broke one.
+    pub attempts: Vec<Fingerprint>,
+}
+
 #[derive(Debug)]
 struct Suspect {
     /// Upstreams that the request broke.
-    upstreams: Vec<u64>,
+    upstreams: Vec<Fingerprint>,
     /// Attempts in which it broke one.
-    attempts: Vec<u64>,
+    attempts: Vec<Fingerprint>,
     last: Instant,
+    /// A disconnect that this host saw is not reported yet.
+    is_unreported: bool,
 }
 
 impl Suspect {
@@ -35,7 +54,7 @@
 }
 
 /// Adds a value to a short list unless the list holds it or is full.
-fn add_distinct(list: &mut Vec<u64>, value: u64, limit: usize) {
+fn add_distinct(list: &mut Vec<Fingerprint>, value: Fingerprint, limit: usize) {
     if list.len() < limit && !list.contains(&value) {
         list.push(value);
     }
@@ -49,14 +68,16 @@
 /// ```
 /// use std::time::Instant;
 /// use cornelwinch_routing::{CrashMarks, RequestPrint};
+/// use cornelwinch_types::Fingerprint;
 ///
 /// let now = Instant::now();
 /// let print = RequestPrint::of("/titles/", "");
+/// let upstream = |name| Fingerprint::of("upstream", name);
+/// let attempt = |id| Fingerprint::of("attempt", id);
 /// let mut marks = CrashMarks::default();
-/// let (first_attempt, second_attempt) = (1, 2);
-/// assert!(!marks.record_disconnect(now, print, first_attempt, 1));
-/// assert!(!marks.record_disconnect(now, print, first_attempt, 2));
-/// assert!(marks.record_disconnect(now, print, second_attempt, 3));
+/// assert!(!marks.record_disconnect(now, print, attempt("1"), upstream("a")));
+/// assert!(!marks.record_disconnect(now, print, attempt("1"), upstream("b")));
+/// assert!(marks.record_disconnect(now, print, attempt("2"), upstream("c")));
 /// assert!(marks.is_marked(now, print));
 /// ```
 #[derive(Debug, Default)]
@@ -74,33 +95,77 @@
         &mut self,
         now: Instant,
         print: RequestPrint,
-        attempt: u64,
-        upstream: u64,
+        attempt: Fingerprint,
+        upstream: Fingerprint,
     ) -> bool {
+        let Some(suspect) = self.suspect(now, print) else {
+            return false;
+        };
+        let was_marked = suspect.is_marked();
+        suspect.is_unreported = true;
+        add_distinct(&mut suspect.upstreams, upstream, CRASHES_PER_MARK);
+        add_distinct(&mut suspect.attempts, attempt, ATTEMPTS_PER_MARK);
+        suspect.is_marked() && !was_marked
+    }
+
+    /// Records what another host has seen. Returns true if the request is now
+    /// marked for the first time.
+    pub fn record_report(&mut self, now: Instant, report: &CrashReport) -> bool {
+        let Some(suspect) = self.suspect(now, report.print) else {
+            return false;
+        };
+        let was_marked = suspect.is_marked();
+        for upstream in &report.upstreams {
+            add_distinct(&mut suspect.upstreams, *upstream, CRASHES_PER_MARK);
+        }
+        for attempt in &report.attempts {
+            add_distinct(&mut suspect.attempts, *attempt, ATTEMPTS_PER_MARK);
+        }
+        suspect.is_marked() && !was_marked
+    }
+
+    /// Returns what other hosts are to know, each disconnect once.
+    pub fn take_reports(&mut self, now: Instant) -> Vec<CrashReport> {
+        let is_due = |suspect: &Suspect| {
+            suspect.is_unreported && now.saturating_duration_since(suspect.last) >= REPORT_AFTER
+        };
+        let due = self.suspects.iter_mut().filter(|(_, s)| is_due(s));
+        due.map(|(print, suspect)| {
+            suspect.is_unreported = false;
+            CrashReport {
+                print: *print,
+                upstreams: suspect.upstreams.clone(),
+                attempts: suspect.attempts.clone(),
+            }
+        })
+        .collect()
+    }
+
+    /// The suspect of a request, with what is too old forgotten; `None` if the
+    /// request was answered of late or there are too many suspects.
+    fn suspect(&mut self, now: Instant, print: RequestPrint) -> Option<&mut Suspect> {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < MEMORY;
         if self.answered.get(&print).is_some_and(|at| is_recent(*at)) {
-            return false;
+            return None;
         }
         if self.suspects.len() >= REQUEST_LIMIT {
             self.suspects.retain(|_, suspect| is_recent(suspect.last));
             if self.suspects.len() >= REQUEST_LIMIT {
-                return false;
+                return None;
             }
         }
         let suspect = self.suspects.get_or_insert_with(print, || Suspect {
             upstreams: Vec::new(),
             attempts: Vec::new(),
             last: now,
+            is_unreported: false,
         });
         if !is_recent(suspect.last) {
             suspect.upstreams.clear();
             suspect.attempts.clear();
         }
         suspect.last = now;
-        let was_marked = suspect.is_marked();
-        add_distinct(&mut suspect.upstreams, upstream, CRASHES_PER_MARK);
-        add_distinct(&mut suspect.attempts, attempt, ATTEMPTS_PER_MARK);
-        suspect.is_marked() && !was_marked
+        Some(suspect)
     }
 
     /// Records an answer, which clears the request of suspicion.
--- a/crates/cornelwinch_routing/src/lib.rs
+++ b/crates/cornelwinch_routing/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use budget::{BudgetShare, Repeat, RetryBudget};
 pub use cold::ColdRate;
-pub use crashes::{CrashMarks, RequestPrint};
+pub use crashes::{CrashMarks, CrashReport, RequestPrint};
 pub use desired::{CallerLimits, DesiredState, GatherPlan, Route, RouteKind, Service, Target};
 pub use fleet::{Fleet, UpstreamEntry, UpstreamId, UpstreamShare, UpstreamState, UpstreamView};
 pub use health::{Health, LegSign};
--- a/crates/cornelwinch_routing/tests/crash_marks.rs
+++ b/crates/cornelwinch_routing/tests/crash_marks.rs
@@ -3,6 +3,15 @@
 use std::time::{Duration, Instant};
 
 use cornelwinch_routing::{CrashMarks, RequestPrint};
+use cornelwinch_types::Fingerprint;
+
+fn upstream(n: u64) -> Fingerprint {
+    Fingerprint::of("upstream", &n.to_string())
+}
+
+fn attempt(n: u64) -> Fingerprint {
+    Fingerprint::of("attempt", &n.to_string())
+}
 
 /// Guards against proper requests that are refused because many upstreams lose
 /// answers at the same time.
@@ -12,8 +21,8 @@
     let print = RequestPrint::of("/titles/2f", "");
     let mut marks = CrashMarks::default();
     marks.record_answer(now, print);
-    for upstream in 0..20 {
-        assert!(!marks.record_disconnect(now, print, upstream, upstream));
+    for n in 0..20 {
+        assert!(!marks.record_disconnect(now, print, attempt(n), upstream(n)));
     }
     assert!(!marks.is_marked(now, print));
 }
@@ -25,10 +34,10 @@
     let now = Instant::now();
     let print = RequestPrint::of("/titles/2f", "");
     let mut marks = CrashMarks::default();
-    for upstream in [1, 1, 2, 2] {
-        assert!(!marks.record_disconnect(now, print, upstream, upstream));
+    for n in [1, 1, 2, 2] {
+        assert!(!marks.record_disconnect(now, print, attempt(n), upstream(n)));
     }
-    assert!(marks.record_disconnect(now, print, 3, 3));
+    assert!(marks.record_disconnect(now, print, attempt(3), upstream(3)));
     assert!(marks.is_marked(now, print));
     assert!(!marks.is_marked(now, RequestPrint::of("/titles/30", "")));
     assert!(!marks.is_marked(now + Duration::from_secs(60), print));
@@ -41,9 +50,53 @@
     let now = Instant::now();
     let print = RequestPrint::of("/titles/2f", "");
     let mut marks = CrashMarks::default();
-    for upstream in 0..10 {
-        assert!(!marks.record_disconnect(now, print, 1, upstream));
+    for n in 0..10 {
+        assert!(!marks.record_disconnect(now, print, attempt(1), upstream(n)));
     }
     assert!(!marks.is_marked(now, print));
-    assert!(marks.record_disconnect(now, print, 2, 1));
+    assert!(marks.record_disconnect(now, print, attempt(2), upstream(1)));
+}
+
+/// Guards against a request that crashes upstreams through one host after the
+/// other, each of which sees too little to mark it.
+#[test]
+fn reports_of_other_hosts_mark_the_request() {
+    let now = Instant::now();
+    let print = RequestPrint::of("/titles/2f", "");
+    let (mut here, mut there) = (CrashMarks::default(), CrashMarks::default());
+    here.record_disconnect(now, print, attempt(1), upstream(1));
+    here.record_disconnect(now, print, attempt(1), upstream(2));
+    there.record_disconnect(now, print, attempt(2), upstream(3));
+    assert!(here.take_reports(now).is_empty(), "it may be answered yet");
+    let later = now + Duration::from_millis(400);
+    let reports = here.take_reports(later);
+    assert_eq!(reports.len(), 1);
+    assert!(here.take_reports(later).is_empty(), "reported twice");
+    assert!(there.record_report(later, &reports[0]));
+    assert!(there.is_marked(later, print));
+    // What came from another host is that one's to report.
+    let own = there.take_reports(later + Duration::from_millis(400));
+    assert_eq!(own.len(), 1);
+    assert!(here.record_report(later, &own[0]));
+    assert!(here.take_reports(later + Duration::from_secs(1)).is_empty());
+}
+
+/// Guards against a proper request that is refused here because upstreams lost
+/// its answers at other hosts.
+#[test]
+fn answered_request_is_not_marked_by_reports() {
+    let now = Instant::now();
+    let print = RequestPrint::of("/titles/2f", "");
+    let (mut here, mut there) = (CrashMarks::default(), CrashMarks::default());
+    for n in 0..4 {
+        there.record_disconnect(now, print, attempt(n), upstream(n));
+    }
+    here.record_answer(now, print);
+    for report in there.take_reports(now + Duration::from_secs(1)) {
+        assert!(!here.record_report(now, &report));
+    }
+    assert!(!here.is_marked(now, print));
+    // An answer before the report is due takes it back.
+    there.record_answer(now, print);
+    assert!(there.take_reports(now + Duration::from_secs(2)).is_empty());
 }
