Refuse what cannot be answered before a planned stop ends

Cause: a host that was told to stop took requests until it ended. A new connection after 0.6 of the grace time was closed at random before its request was read, since a shutdown of a connection without a read ends it. Ruled out: ending later (the platform kills at the grace time). Change: a request whose goal lies beyond 0.92 of the grace time is refused as not run; what is at work then is answered as timed out; late connections end with their first answer.

--- a/crates/cornelwinch_relay/src/answer.rs
+++ b/crates/cornelwinch_relay/src/answer.rs
@@ -91,8 +91,8 @@
     }
 
     /// The time was over before an answer came.
-    pub(crate) fn timed_out() -> Self {
-        Self::own(StatusCode::GATEWAY_TIMEOUT, Outcome::TimedOut, "deadline")
+    pub(crate) fn timed_out(reason: &'static str) -> Self {
+        Self::own(StatusCode::GATEWAY_TIMEOUT, Outcome::TimedOut, reason)
     }
 
     /// An upstream's own answer, unchanged.
--- a/crates/cornelwinch_relay/src/callers.rs
+++ b/crates/cornelwinch_relay/src/callers.rs
@@ -62,7 +62,13 @@
         .max_buf_size(HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
+    // A connection that is shut down before its first request was read ends
+    // without an answer. One that comes late ends with its first answer.
+    if *close_idle.borrow() {
+        return connection.await;
+    }
     tokio::select! {
+        biased;
         end = connection.as_mut() => return end,
         _ = close_idle.wait_for(|close| *close) => connection.as_mut().graceful_shutdown(),
     }
--- a/crates/cornelwinch_relay/src/core.rs
+++ b/crates/cornelwinch_relay/src/core.rs
@@ -8,7 +8,7 @@
     RouteTable, Service, SplitCursor, Target, UpstreamId, UpstreamShare, UpstreamView,
 };
 use cornelwinch_types::{Name, SortedMap};
-use tokio::sync::broadcast;
+use tokio::sync::{broadcast, watch};
 
 use crate::apply::apply_changes;
 use crate::condition::StoreCondition;
@@ -65,8 +65,10 @@
     pub(crate) pool: Pool,
     pub(crate) dialect: Dialect,
     pub(crate) settings: RefCell<RelaySettings>,
-    /// Set from the request to stop on.
-    pub(crate) draining: Cell<bool>,
+    /// Time at which the last requests are answered, from the request to stop on.
+    pub(crate) stop_at: Cell<Option<Instant>>,
+    /// Set when that time has come.
+    pub(crate) ending: watch::Sender<bool>,
     /// Requests of callers that are being answered.
     pub(crate) active: Cell<usize>,
     /// Copy of the store's objects.
@@ -99,7 +101,8 @@
             pool: Pool::default(),
             dialect,
             settings: RefCell::new(settings),
-            draining: Cell::new(false),
+            stop_at: Cell::new(None),
+            ending: watch::Sender::new(false),
             active: Cell::new(0),
             mirror: RefCell::default(),
             hosts: RefCell::default(),
@@ -228,6 +231,17 @@
         }
     }
 
+    /// Reports whether this host was asked to stop.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stop_at.get().is_some()
+    }
+
+    /// Waits for the time at which the last requests are answered.
+    pub(crate) async fn ended(&self) {
+        // The sender lives as long as this state.
+        let _ = self.ending.subscribe().wait_for(|ended| *ended).await;
+    }
+
     /// Counts a caller's request to a service.
     pub(crate) fn count_request(&self, service: &Name) {
         let share = self.budget_share();
@@ -281,7 +295,7 @@
             return false;
         };
         let now = Instant::now();
-        if self.draining.get() || core.fleet.is_empty() {
+        if self.is_stopping() || core.fleet.is_empty() {
             return false;
         }
         let can_serve_all = || {
--- a/crates/cornelwinch_relay/src/handle.rs
+++ b/crates/cornelwinch_relay/src/handle.rs
@@ -85,9 +85,14 @@
     let version = table.as_ref().map_or(0, |table| table.version());
     let route = table.as_deref().map(|table| find_route(table, &request));
     let reply = match (&table, &route) {
-        (Some(table), Some(Ok(route))) => {
-            answer(&shared, table, route.clone(), request, start).await
+        (Some(_), Some(Ok(route))) if is_too_late(&shared, route, start) => {
+            Reply::not_run("stopping")
         }
+        (Some(table), Some(Ok(route))) => tokio::select! {
+            biased;
+            reply = answer(&shared, table, route.clone(), request, start) => reply,
+            () = shared.ended() => Reply::timed_out("stopping"),
+        },
         (_, Some(Err(reason))) => Reply::rejected(StatusCode::NOT_FOUND, reason),
         _ => Reply::not_run("no_configuration"),
     };
@@ -119,6 +124,12 @@
     Ok(response)
 }
 
+/// Reports whether this host ends before the request could be answered in time.
+fn is_too_late(shared: &Shared, route: &Route, now: Instant) -> bool {
+    let stop_at = shared.stop_at.get();
+    stop_at.is_some_and(|at| at.saturating_duration_since(now) < route.goal)
+}
+
 fn find_route(table: &RouteTable, request: &Request<Incoming>) -> Result<Arc<Route>, &'static str> {
     let host = request
         .headers()
--- a/crates/cornelwinch_relay/src/operator.rs
+++ b/crates/cornelwinch_relay/src/operator.rs
@@ -58,11 +58,11 @@
     let text = if request.uri().path() == "/state" {
         let version = core.table.as_ref().map_or(0, |table| table.version());
         let mut text = format!(
-            "version={version} hosts={} source={} knowledge_age={:?} draining={} active={} evacuated={:?}\n",
+            "version={version} hosts={} source={} knowledge_age={:?} stopping={} active={} evacuated={:?}\n",
             core.host_count(),
             shared.is_source(),
             shared.knowledge_age(Instant::now()),
-            shared.draining.get(),
+            shared.is_stopping(),
             shared.active.get(),
             core.fleet.evacuated(),
         );
--- a/crates/cornelwinch_relay/src/relay.rs
+++ b/crates/cornelwinch_relay/src/relay.rs
@@ -34,9 +34,13 @@
 /// that a request on its way is still read.
 const LINGER_SHARE: f64 = 0.6;
 
+/// Share of the grace time after which requests that are left are answered as
+/// timed out. None is taken on that could not be answered before it.
+const ANSWER_SHARE: f64 = 0.92;
+
 /// Share of the grace time after which the process ends although requests are
 /// unanswered.
-const STOP_SHARE: f64 = 0.95;
+const STOP_SHARE: f64 = 0.97;
 
 /// Time between two looks at the requests that are left while stopping.
 const STOP_POLL: Duration = Duration::from_millis(20);
@@ -89,7 +93,8 @@
     pub async fn stop(&self) -> usize {
         let start = Instant::now();
         let grace = self.shared.settings.borrow().bounds.grace();
-        self.shared.draining.set(true);
+        let answer_at = start + grace.mul_f64(ANSWER_SHARE);
+        self.shared.stop_at.set(Some(answer_at));
         log::info!(
             "event=stopping active={} grace_ms={}",
             self.shared.active.get(),
@@ -102,6 +107,9 @@
         loop {
             while self.shared.active.get() > 0 && start.elapsed() < limit {
                 sleep(STOP_POLL).await;
+                if Instant::now() >= answer_at {
+                    self.shared.ending.send_replace(true);
+                }
             }
             sleep(LAST_WRITE).await;
             // A request may have been read in the meantime.
--- a/crates/cornelwinch_relay/src/scatter.rs
+++ b/crates/cornelwinch_relay/src/scatter.rs
@@ -153,7 +153,7 @@
     fn finish(self, shared: &Shared, out: &Outgoing, timed_out: bool) -> Reply {
         if !self.is_success() {
             return match (timed_out, self.ran) {
-                (true, _) => Reply::timed_out(),
+                (true, _) => Reply::timed_out("deadline"),
                 (false, true) => Reply::unknown(self.reason),
                 (false, false) => Reply::not_run(self.reason),
             };
--- a/crates/cornelwinch_relay/src/single.rs
+++ b/crates/cornelwinch_relay/src/single.rs
@@ -48,7 +48,7 @@
         Ok(FetchEnd::Answer(answer)) => Reply::relayed(answer),
         Ok(FetchEnd::NotRun(reason)) => Reply::not_run(reason),
         Ok(FetchEnd::Lost(reason)) => Reply::unknown(reason),
-        Err(_) => Reply::timed_out(),
+        Err(_) => Reply::timed_out("deadline"),
     }
 }
 
