Remember answered requests in a table; reject heads over the limit

Cause: answers were kept in a sorted list of 4,096 that was cleaned of those older than 30 s. At 180 requests a second it was full after 23 s, each answer searched it in vain, and answers were forgotten: a proper request could be marked as crashing upstreams while these lost answers. Change: a table of 8,192 entries, indexed by the fingerprint. Also: the limit on heads of the desired state was decoded and not used; 431 now. The priority of a route and the health path of a service had no use and are gone. One function each for the time of a second leg, for legs that end by themselves and for gathered routes that can be answered.

--- a/crates/cornelwinch_relay/src/core.rs
+++ b/crates/cornelwinch_relay/src/core.rs
@@ -278,14 +278,6 @@
         }
     }
 
-    /// Number of shards that some upstream serves.
-    pub(crate) fn served_shards(&self, plan: &GatherPlan) -> usize {
-        let core = self.core.borrow();
-        let now = Instant::now();
-        let is_served = |shard: &&Name| core.fleet.is_served(now, shard);
-        plan.shards.iter().filter(is_served).count()
-    }
-
     /// Reports whether this host should get new connections of callers: it knows
     /// what to do with them, does not stop, and is not cut off from what they
     /// need.
@@ -357,13 +349,17 @@
         match &route.target {
             Target::Service(service) => is_served(service),
             Target::Split(parts) => parts.iter().any(|(service, _)| is_served(service)),
-            Target::Gather(plan) => {
-                let served = plan.shards.iter().filter(|shard| is_served(shard)).count();
-                served >= plan.least_parts()
-            }
+            Target::Gather(plan) => self.can_gather(now, plan),
         }
     }
 
+    /// Reports whether upstreams of enough shards for an answer are known and not
+    /// lost.
+    pub(crate) fn can_gather(&self, now: Instant, plan: &GatherPlan) -> bool {
+        let is_served = |shard: &&Name| self.fleet.is_served(now, shard);
+        plan.shards.iter().filter(is_served).count() >= plan.least_parts()
+    }
+
     /// Service of the next request of a weighted split.
     pub(crate) fn next_of_split(&mut self, route: &Route, parts: &[(Name, u32)]) -> Option<Name> {
         self.cursors
--- a/crates/cornelwinch_relay/src/fetch.rs
+++ b/crates/cornelwinch_relay/src/fetch.rs
@@ -17,6 +17,9 @@
 /// which keeps their connections and tells how their upstreams are.
 const LINGER: Duration = Duration::from_millis(400);
 
+/// Multiple of the usual leg time before which no second leg starts.
+const HEDGE_TYPICAL: f64 = 2.0;
+
 /// Pause after which a second leg that the budget did not allow is asked for
 /// again.
 const BUDGET_RETRY: Duration = Duration::from_millis(10);
@@ -91,7 +94,7 @@
             biased;
             Some((upstream, sent, end)) = fetch.legs.next() => {
                 if let Some(answer) = fetch.on_end(&upstream, sent, end) {
-                    fetch.linger();
+                    linger(fetch.legs);
                     return FetchEnd::Answer(answer);
                 }
                 if fetch.legs.is_empty() && !fetch.start_leg() {
@@ -109,6 +112,23 @@
     }
 }
 
+/// Time after which a second upstream gets a request: a share of the route's goal,
+/// or later where legs usually take longer.
+pub(crate) fn hedge_after(shared: &Shared, route: &Route, share: f64) -> Duration {
+    let typical = shared.core.borrow().typical(route);
+    route
+        .goal
+        .mul_f64(share)
+        .max(typical.mul_f64(HEDGE_TYPICAL))
+}
+
+/// Lets what is open of an answered request end by itself for a while.
+pub(crate) fn linger<T: 'static>(open: FuturesUnordered<LocalBoxFuture<'static, T>>) {
+    if !open.is_empty() {
+        tokio::task::spawn_local(timeout(LINGER, open.for_each(|_| std::future::ready(()))));
+    }
+}
+
 impl Fetch {
     fn may_start(&self) -> bool {
         self.running < self.plan.route.attempts.max(1)
@@ -205,15 +225,6 @@
         None
     }
 
-    /// Lets the other legs end by themselves for a while.
-    fn linger(&mut self) {
-        let legs = std::mem::take(&mut self.legs);
-        if legs.is_empty() {
-            return;
-        }
-        tokio::task::spawn_local(timeout(LINGER, legs.for_each(|_| std::future::ready(()))));
-    }
-
     fn finish(self) -> FetchEnd {
         match (self.failure, self.lost) {
             (Some(answer), _) => FetchEnd::Answer(answer),
--- a/crates/cornelwinch_relay/src/handle.rs
+++ b/crates/cornelwinch_relay/src/handle.rs
@@ -142,6 +142,15 @@
     }
 }
 
+/// Size of the head of a request on the wire, without its first line.
+fn head_bytes(request: &Request<Incoming>) -> usize {
+    const SEPARATORS: usize = ": \r\n".len();
+    let headers = request.headers().iter();
+    headers
+        .map(|(name, value)| name.as_str().len() + value.len() + SEPARATORS)
+        .sum()
+}
+
 async fn answer(
     shared: &Rc<Shared>,
     table: &RouteTable,
@@ -150,6 +159,12 @@
     start: Instant,
 ) -> Reply {
     let names = &shared.dialect.headers;
+    if head_bytes(&request) > table.limits().header_bytes {
+        return Reply::rejected(
+            StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            "head_too_large",
+        );
+    }
     let Some(request_id) = request.headers().get(&names.request_id).cloned() else {
         return Reply::rejected(StatusCode::BAD_REQUEST, "no_request_id");
     };
--- a/crates/cornelwinch_relay/src/scatter.rs
+++ b/crates/cornelwinch_relay/src/scatter.rs
@@ -1,7 +1,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use cornelwinch_routing::{GatherPlan, PartMerge, RequestPrint, Route};
@@ -11,11 +11,11 @@
 use http_body_util::Full;
 use hyper::Response;
 use hyper::header::HeaderValue;
-use tokio::time::{sleep_until, timeout};
+use tokio::time::sleep_until;
 
 use crate::answer::Reply;
 use crate::core::Shared;
-use crate::fetch::{FetchEnd, FetchPlan, fetch};
+use crate::fetch::{FetchEnd, FetchPlan, fetch, hedge_after, linger};
 use crate::leg::Outgoing;
 
 /// Share of the goal after which an answer without all parts is returned.
@@ -24,12 +24,6 @@
 /// Share of the goal after which a second upstream of a shard gets the request.
 const HEDGE_SHARE: f64 = 0.3;
 
-/// Multiple of the usual leg time before which no second leg starts.
-const HEDGE_TYPICAL: f64 = 2.0;
-
-/// Time for which legs of an answered request may end by themselves.
-const LINGER: Duration = Duration::from_millis(400);
-
 struct Gathering {
     merge: PartMerge,
     stamps: Vec<HeaderValue>,
@@ -55,14 +49,10 @@
         shared.count_request(shard);
     }
     let mut gathering = Gathering::new(&plan);
-    if shared.served_shards(&plan) < gathering.least {
+    if !shared.core.borrow().can_gather(arrived, &plan) {
         return Reply::not_run("shards_unserved");
     }
-    let typical = shared.core.borrow().typical(&route);
-    let hedge_after = route
-        .goal
-        .mul_f64(HEDGE_SHARE)
-        .max(typical.mul_f64(HEDGE_TYPICAL));
+    let hedge_after = hedge_after(&shared, &route, HEDGE_SHARE);
     let mut fetches: FuturesUnordered<LocalBoxFuture<'static, FetchEnd>> = plan
         .shards
         .iter()
@@ -96,11 +86,8 @@
     }
     // Legs in flight are given up and may have run.
     gathering.ran |= !fetches.is_empty();
-    if gathering.is_success() && !fetches.is_empty() {
-        tokio::task::spawn_local(timeout(
-            LINGER,
-            fetches.for_each(|_| std::future::ready(())),
-        ));
+    if gathering.is_success() {
+        linger(fetches);
     }
     gathering.finish(&shared, &out, false)
 }
--- a/crates/cornelwinch_relay/src/single.rs
+++ b/crates/cornelwinch_relay/src/single.rs
@@ -1,6 +1,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use cornelwinch_routing::{RequestPrint, Route, RouteKind};
 use cornelwinch_types::Name;
@@ -8,15 +8,12 @@
 
 use crate::answer::Reply;
 use crate::core::Shared;
-use crate::fetch::{FetchEnd, FetchPlan, fetch};
+use crate::fetch::{FetchEnd, FetchPlan, fetch, hedge_after};
 use crate::leg::Outgoing;
 
 /// Share of the goal after which a second upstream gets an idempotent request.
 const HEDGE_SHARE: f64 = 0.4;
 
-/// Multiple of the usual leg time before which no second leg starts.
-const HEDGE_TYPICAL: f64 = 2.0;
-
 /// Answers a request that goes to one upstream of a service.
 pub(crate) async fn answer_single(
     shared: Rc<Shared>,
@@ -35,9 +32,8 @@
         return Reply::not_run("service_unserved");
     }
     let idempotent = route.kind == RouteKind::Idempotent;
-    let typical = shared.core.borrow().typical(&route);
     let plan = FetchPlan {
-        hedge_after: idempotent.then(|| hedge_after(&route, typical)),
+        hedge_after: idempotent.then(|| hedge_after(&shared, &route, HEDGE_SHARE)),
         route,
         service,
         idempotent,
@@ -51,10 +47,3 @@
         Err(_) => Reply::timed_out("deadline"),
     }
 }
-
-fn hedge_after(route: &Route, typical: Duration) -> Duration {
-    route
-        .goal
-        .mul_f64(HEDGE_SHARE)
-        .max(typical.mul_f64(HEDGE_TYPICAL))
-}
--- a/crates/cornelwinch_routing/src/crashes.rs
+++ b/crates/cornelwinch_routing/src/crashes.rs
@@ -14,9 +14,13 @@
 /// Time after which a disconnect, a mark or an answer is forgotten.
 const MEMORY: Duration = Duration::from_secs(60);
 
-/// Largest number of requests that are remembered, of each kind.
+/// Largest number of suspects.
 const REQUEST_LIMIT: usize = 4_096;
 
+/// Entries of the table of answered requests, 32 bytes each: half a minute of 200
+/// requests a second. A newer answer takes the place of an older one.
+const ANSWER_SLOTS: usize = 8_192;
+
 /// Time without an answer after which a disconnect is reported to other hosts.
 /// Most requests that meet an upstream which loses an answer are answered by
 /// another one before, and nothing is reported.
@@ -80,11 +84,20 @@
 /// assert!(marks.record_disconnect(now, print, attempt("2"), upstream("c")));
 /// assert!(marks.is_marked(now, print));
 /// ```
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct CrashMarks {
     suspects: SortedMap<RequestPrint, Suspect>,
-    /// Time of the last answer.
-    answered: SortedMap<RequestPrint, Instant>,
+    /// Requests with the time of their last answer, by their slot.
+    answered: Vec<Option<(RequestPrint, Instant)>>,
+}
+
+impl Default for CrashMarks {
+    fn default() -> Self {
+        Self {
+            suspects: SortedMap::new(),
+            answered: vec![None; ANSWER_SLOTS],
+        }
+    }
 }
 
 impl CrashMarks {
@@ -145,7 +158,8 @@
     /// request was answered of late or there are too many suspects.
     fn suspect(&mut self, now: Instant, print: RequestPrint) -> Option<&mut Suspect> {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < MEMORY;
-        if self.answered.get(&print).is_some_and(|at| is_recent(*at)) {
+        let answered = self.answered[print.slot(ANSWER_SLOTS)];
+        if answered.is_some_and(|(known, at)| known == print && is_recent(at)) {
             return None;
         }
         if self.suspects.len() >= REQUEST_LIMIT {
@@ -171,14 +185,7 @@
     /// Records an answer, which clears the request of suspicion.
     pub fn record_answer(&mut self, now: Instant, print: RequestPrint) {
         self.suspects.remove(&print);
-        if self.answered.len() >= REQUEST_LIMIT {
-            self.answered
-                .retain(|_, at| now.saturating_duration_since(*at) < MEMORY / 2);
-            if self.answered.len() >= REQUEST_LIMIT {
-                return;
-            }
-        }
-        self.answered.insert(print, now);
+        self.answered[print.slot(ANSWER_SLOTS)] = Some((print, now));
     }
 
     /// Reports whether the request must not be sent.
--- a/crates/cornelwinch_routing/src/desired.rs
+++ b/crates/cornelwinch_routing/src/desired.rs
@@ -44,8 +44,6 @@
     pub timeout: Duration,
     /// Time within which an answer has its full value.
     pub goal: Duration,
-    /// Rank; 0 is the highest.
-    pub priority: u32,
 }
 
 /// Where the requests of a route go.
@@ -86,8 +84,6 @@
 pub struct Service {
     /// Name that upstream entries carry.
     pub name: Name,
-    /// Path of the health endpoint.
-    pub health_path: Name,
     /// Connections that one upstream accepts from all hosts together.
     pub max_connections: u32,
     /// Requests a second that a cold upstream tolerates; `None` if it has no
--- a/crates/cornelwinch_routing/tests/crash_marks.rs
+++ b/crates/cornelwinch_routing/tests/crash_marks.rs
@@ -27,6 +27,22 @@
     assert!(!marks.is_marked(now, print));
 }
 
+/// Guards against answers that a busy host no longer remembers, so that proper
+/// requests are refused.
+#[test]
+fn answers_are_remembered_under_load() {
+    let now = Instant::now();
+    let mut marks = CrashMarks::default();
+    for n in 0..20_000 {
+        marks.record_answer(now, RequestPrint::of("/titles/", &n.to_string()));
+    }
+    let print = RequestPrint::of("/titles/2f", "");
+    marks.record_answer(now, print);
+    for n in 0..20 {
+        assert!(!marks.record_disconnect(now, print, attempt(n), upstream(n)));
+    }
+}
+
 /// Guards against a request that is sent on after it crashed three upstreams,
 /// and against one upstream that counts twice.
 #[test]
--- a/crates/cornelwinch_types/src/fingerprint.rs
+++ b/crates/cornelwinch_types/src/fingerprint.rs
@@ -27,4 +27,14 @@
         buf.extend_from_slice(body);
         Self(xxh3_128(&buf))
     }
+
+    /// Position of this fingerprint in a table of `len` entries.
+    ///
+    /// # Panics
+    ///
+    /// Panics if `len` is 0.
+    pub fn slot(self, len: usize) -> usize {
+        let low = self.0 as u64 as usize;
+        low % len
+    }
 }
