--- a/crates/cornelwinch_daemon/src/actor.rs
+++ b/crates/cornelwinch_daemon/src/actor.rs
@@ -14,7 +14,7 @@
 use crate::gossip::Gossip;
 use crate::metrics::{Metrics, RequestEnd};
 use crate::platform::PlatformAdapter;
-use crate::upstream::{UpstreamClient, UpstreamEvent};
+use crate::upstream::{LegThread, UpstreamClient, UpstreamEvent};
 
 /// What the adapters send to the actor.
 #[derive(Debug)]
@@ -49,6 +49,7 @@
     pub(crate) peers: Option<PeerTransport<PeerMessage>>,
     pub(crate) gossip: Gossip,
     pub(crate) platform: PlatformAdapter,
+    pub(crate) legs: LegThread,
     pub(crate) metrics: Metrics,
     pub(crate) tx: Sender<ActorInput>,
 }
@@ -215,6 +216,7 @@
             Action::SendDatagram { to, buf } => self.adapters.gossip.send(to, &buf),
             Action::OpenUpstream { upstream, spec } => {
                 let client = UpstreamClient::open(
+                    &self.adapters.legs,
                     upstream.clone(),
                     spec.address,
                     spec.slots,
--- a/crates/cornelwinch_daemon/src/daemon.rs
+++ b/crates/cornelwinch_daemon/src/daemon.rs
@@ -6,7 +6,7 @@
 
 use cornelwinch_config::{RoutingSetting, Settings};
 use cornelwinch_host::{CallerRequest, Host, HostConfig, Input, Routing};
-use cornelwinch_http::{HttpLimits, HttpPool, HttpRequest, HttpServer};
+use cornelwinch_http::{HttpLimits, HttpRequest, HttpServer, HttpThread};
 use cornelwinch_membership::{DatagramKey, MembershipConfig};
 use cornelwinch_peer::{PeerConfig, PeerEvent, Secret};
 use cornelwinch_types::{Incarnation, Member, MemberState};
@@ -21,6 +21,7 @@
 use crate::gossip::Gossip;
 use crate::metrics::Metrics;
 use crate::platform::PlatformAdapter;
+use crate::upstream::LegThread;
 
 /// Longest wait of the loop; the host's own timers come earlier.
 const LOOP_WAIT: Duration = Duration::from_millis(250);
@@ -45,7 +46,6 @@
 const QUERY_LIMIT: usize = 4_096;
 
 const OPERATOR_CONNECTIONS: usize = 64;
-const HTTP_WORKERS: usize = 2;
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Handle of a running host.
@@ -113,12 +113,12 @@
     })?;
     let secret = secret.trim_ascii_end();
     let (tx, rx) = unbounded();
-    let pool = HttpPool::open(HTTP_WORKERS).context(ListenSnafu {
+    let http = HttpThread::open().context(ListenSnafu {
         step: "open_http",
         addr: settings.caller,
     })?;
-    let callers = bind_callers(&pool, settings, tx.clone())?;
-    let operators = bind_operators(&pool, settings, tx.clone())?;
+    let callers = bind_callers(&http, settings, tx.clone())?;
+    let operators = bind_operators(&http, settings, tx.clone())?;
     let (adapters, peer_addr) = open_adapters(settings, incarnation, secret, &tx)?;
     let me = Member {
         name: settings.host.clone(),
@@ -218,6 +218,7 @@
         peers: Some(peers),
         gossip,
         platform,
+        legs: LegThread::open()?,
         metrics: Metrics::open(settings.metrics, &settings.host)?,
         tx: tx.clone(),
     };
@@ -225,7 +226,7 @@
 }
 
 fn bind_callers(
-    pool: &std::sync::Arc<HttpPool>,
+    http: &std::sync::Arc<HttpThread>,
     settings: &Settings,
     tx: Sender<ActorInput>,
 ) -> Result<HttpServer, DaemonError> {
@@ -233,9 +234,8 @@
         connections: settings.limits.caller_connections,
         body_bytes: settings.limits.body_bytes,
         idle: settings.limits.idle,
-        workers: HTTP_WORKERS,
     };
-    pool.bind(settings.caller, limits, move |req| on_caller(req, &tx))
+    http.bind(settings.caller, limits, move |req| on_caller(req, &tx))
         .context(ListenSnafu {
             step: "bind_caller",
             addr: settings.caller,
@@ -260,7 +260,7 @@
 }
 
 fn bind_operators(
-    pool: &std::sync::Arc<HttpPool>,
+    http: &std::sync::Arc<HttpThread>,
     settings: &Settings,
     tx: Sender<ActorInput>,
 ) -> Result<HttpServer, DaemonError> {
@@ -269,7 +269,7 @@
         ..HttpLimits::default()
     };
     let token_hash = settings.operator_token_hash;
-    pool.bind(settings.operator, limits, move |req| {
+    http.bind(settings.operator, limits, move |req| {
         on_operator(req, token_hash, &tx);
     })
     .context(ListenSnafu {
--- a/crates/cornelwinch_daemon/src/logging.rs
+++ b/crates/cornelwinch_daemon/src/logging.rs
@@ -19,7 +19,6 @@
         .level_for("tokio_tungstenite", log::LevelFilter::Warn)
         .level_for("ureq", log::LevelFilter::Warn)
         .level_for("ureq_proto", log::LevelFilter::Warn)
-        .level_for("tiny_http", log::LevelFilter::Warn)
         .format(move |out, message, record| {
             let at = SystemTime::now()
                 .duration_since(UNIX_EPOCH)
--- a/crates/cornelwinch_daemon/src/upstream.rs
+++ b/crates/cornelwinch_daemon/src/upstream.rs
@@ -1,20 +1,28 @@
+use std::cell::{Cell, RefCell};
 use std::fmt;
-use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
+use cornelwinch_http::{HttpSender, connect};
 use cornelwinch_types::{
-    AttemptId, Hit, KeyRange, LegAnswer, LegFailure, LegRequest, LegResult, Name, Refusal,
-    SnapshotId, UpstreamSigns,
+    AttemptId, LegFailure, LegRequest, LegResult, Name, Refusal, UpstreamSigns,
 };
-use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
-use serde::{Deserialize, Serialize};
-use ureq::Agent;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::{self, HeaderValue};
+use hyper::{Method, Request};
+use snafu::ResultExt;
+use tokio::sync::{Mutex, Semaphore, mpsc};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::timeout;
 
-/// Time after which an idle worker thread ends.
-const WORKER_IDLE: Duration = Duration::from_secs(30);
+use crate::DaemonError;
+use crate::error::ThreadSnafu;
+use crate::leg_body::{encode_leg, read_leaving, read_result};
 
 /// Longest time for a new connection; the brief names 6 ms for a slow one.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -27,7 +35,11 @@
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Largest answer of one leg that is read.
-const ANSWER_LIMIT_BYTES: u64 = 16 << 20;
+const ANSWER_LIMIT_BYTES: usize = 16 << 20;
+
+/// Legs per slot that may be open at once, sent or waiting. The owner's limiter
+/// keeps those in flight within the slots, so hardly any waits.
+const OPEN_PER_SLOT: usize = 3;
 
 /// What an upstream's client reports.
 #[derive(Debug)]
@@ -54,26 +66,79 @@
 
 type Handler = Arc<dyn Fn(UpstreamEvent) + Send + Sync>;
 
-struct Job {
-    leg: LegRequest,
-    deadline: Instant,
+/// What a client asks of the thread.
+enum Work {
+    Open(Opening),
+    Send { client: u64, leg: LegRequest },
+    Cancel { client: u64, attempt: AttemptId },
+    Health { client: u64 },
+    Close { client: u64 },
+}
+
+struct Opening {
+    client: u64,
+    name: Name,
+    addr: SocketAddr,
+    slots: usize,
+    open: Arc<AtomicUsize>,
+    handler: Handler,
+}
+
+/// One thread that carries legs to all upstreams.
+#[derive(Clone)]
+pub struct LegThread {
+    work: mpsc::UnboundedSender<(Instant, Work)>,
+    clients: Arc<AtomicUsize>,
+}
+
+impl fmt::Debug for LegThread {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("LegThread").finish_non_exhaustive()
+    }
 }
 
-enum Control {
-    Cancel(AttemptId),
-    Health,
+impl LegThread {
+    /// Starts the thread; it ends with its last handle and client.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the thread or its event loop cannot be started.
+    pub fn open() -> Result<Self, DaemonError> {
+        const NAME: &str = "legs";
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_io()
+            .enable_time()
+            .build()
+            .context(ThreadSnafu { name: NAME })?;
+        let (work, rx) = mpsc::unbounded_channel();
+        thread::Builder::new()
+            .name(NAME.into())
+            .spawn(move || LocalSet::new().block_on(&runtime, serve(rx)))
+            .context(ThreadSnafu { name: NAME })?;
+        Ok(Self {
+            work,
+            clients: Arc::default(),
+        })
+    }
+
+    fn ask(&self, work: Work) {
+        if self.work.send((Instant::now(), work)).is_err() {
+            log::error!("event=leg_thread_gone");
+        }
+    }
 }
 
-/// Client of one upstream: as many worker threads as the upstream has slots,
-/// each with one connection, started when needed.
+/// Client of one upstream, with at most one connection for each of its slots and
+/// one for cancellations and probes.
 pub struct UpstreamClient {
+    thread: LegThread,
+    client: u64,
     name: Name,
     addr: SocketAddr,
     slots: usize,
+    /// Legs that have not ended.
+    open: Arc<AtomicUsize>,
     handler: Handler,
-    jobs: (Sender<Job>, Receiver<Job>),
-    workers: Arc<()>,
-    control: Sender<Control>,
 }
 
 impl fmt::Debug for UpstreamClient {
@@ -88,25 +153,30 @@
 impl UpstreamClient {
     /// Opens a client; connections are made when the first legs are sent.
     pub fn open(
+        thread: &LegThread,
         name: Name,
         addr: SocketAddr,
         slots: u32,
         connections: u32,
         handler: impl Fn(UpstreamEvent) + Send + Sync + 'static,
     ) -> Self {
-        let slots = slots.min(connections).max(1) as usize;
-        let handler: Handler = Arc::new(handler);
-        let (control, control_rx) = unbounded();
         let client = Self {
+            thread: thread.clone(),
+            client: thread.clients.fetch_add(1, Ordering::Relaxed) as u64,
             name,
             addr,
-            slots,
-            handler,
-            jobs: bounded(slots * 2),
-            workers: Arc::new(()),
-            control,
+            slots: slots.min(connections).max(1) as usize,
+            open: Arc::default(),
+            handler: Arc::new(handler),
         };
-        client.spawn_control(control_rx);
+        client.thread.ask(Work::Open(Opening {
+            client: client.client,
+            name: client.name.clone(),
+            addr,
+            slots: client.slots,
+            open: client.open.clone(),
+            handler: client.handler.clone(),
+        }));
         client
     }
 
@@ -115,286 +185,253 @@
         self.addr
     }
 
-    /// Sends a leg. The owner's limiter keeps the number in flight within the
-    /// slots, so the queue is nearly always empty.
+    /// Sends a leg.
     pub fn send(&self, leg: LegRequest) {
-        let deadline = Instant::now() + leg.budget;
-        let attempt = leg.attempt;
-        if Arc::strong_count(&self.workers) <= self.slots {
-            self.spawn_worker();
-        }
-        if self.jobs.0.try_send(Job { leg, deadline }).is_err() {
-            (self.handler)(UpstreamEvent::Finished {
-                upstream: self.name.clone(),
-                attempt,
-                result: LegResult::Refused(Refusal::Overloaded),
-                signs: UpstreamSigns::default(),
-            });
+        if self.open.fetch_add(1, Ordering::AcqRel) < self.slots * OPEN_PER_SLOT {
+            let client = self.client;
+            self.thread.ask(Work::Send { client, leg });
+            return;
         }
+        self.open.fetch_sub(1, Ordering::AcqRel);
+        (self.handler)(UpstreamEvent::Finished {
+            upstream: self.name.clone(),
+            attempt: leg.attempt,
+            result: LegResult::Refused(Refusal::Overloaded),
+            signs: UpstreamSigns::default(),
+        });
     }
 
     /// Asks the upstream to stop an attempt.
     pub fn cancel(&self, attempt: AttemptId) {
-        let _ = self.control.send(Control::Cancel(attempt));
+        let client = self.client;
+        self.thread.ask(Work::Cancel { client, attempt });
     }
 
     /// Asks the upstream whether it is still leaving.
     pub fn probe_health(&self) {
-        let _ = self.control.send(Control::Health);
-    }
-
-    fn spawn_worker(&self) {
-        let token = self.workers.clone();
-        let rx = self.jobs.1.clone();
-        let mut exchange = Exchange {
-            url: format!("http://{}/v1/leg", self.addr),
-            name: self.name.clone(),
-            agent: single_connection_agent(),
-            handler: self.handler.clone(),
-        };
-        let spawned = thread::Builder::new()
-            .name(format!("leg-{}", self.name))
-            .stack_size(256 << 10)
-            .spawn(move || {
-                while let Ok(job) = rx.recv_timeout(WORKER_IDLE) {
-                    exchange.run(&job);
-                }
-                drop(token);
-            });
-        if let Err(error) = spawned {
-            log::error!(
-                "event=worker_start_failed upstream={} error=\"{error}\"",
-                self.name
-            );
-        }
+        let client = self.client;
+        self.thread.ask(Work::Health { client });
     }
-
-    fn spawn_control(&self, rx: Receiver<Control>) {
-        let name = self.name.clone();
-        let addr = self.addr;
-        let handler = self.handler.clone();
-        // Cancellations use a connection of their own; otherwise a busy
-        // upstream would receive them after the answers they are meant to stop.
-        let agent = Agent::new_with_config(
-            Agent::config_builder()
-                .http_status_as_error(false)
-                .timeout_global(Some(CONTROL_TIMEOUT))
-                .proxy(None)
-                .build(),
-        );
-        let spawned = thread::Builder::new()
-            .name(format!("ctl-{name}"))
-            .stack_size(256 << 10)
-            .spawn(move || {
-                for control in rx {
-                    match control {
-                        Control::Cancel(attempt) => {
-                            let _ = agent
-                                .delete(format!("http://{addr}/v1/leg/{attempt}"))
-                                .call();
-                        }
-                        Control::Health => {
-                            if let Some(leaving) = fetch_leaving(&agent, addr) {
-                                handler(UpstreamEvent::Health {
-                                    upstream: name.clone(),
-                                    leaving,
-                                });
-                            }
-                        }
-                    }
-                }
-            });
-        if let Err(error) = spawned {
-            log::error!(
-                "event=control_start_failed upstream={} error=\"{error}\"",
-                self.name
-            );
-        }
-    }
-}
-
-#[derive(Debug, Deserialize)]
-struct Health {
-    state: String,
-}
-
-fn fetch_leaving(agent: &Agent, addr: SocketAddr) -> Option<bool> {
-    let mut resp = agent.get(format!("http://{addr}/v1/health")).call().ok()?;
-    let health: Health = resp.body_mut().read_json().ok()?;
-    Some(health.state == "draining")
-}
-
-#[derive(Debug, Serialize)]
-struct LegBody<'a> {
-    attempt: AttemptId,
-    search: &'a str,
-    snapshot: SnapshotId,
-    range: KeyRange,
-    body: &'a str,
-    deadline_ms: u64,
-    idempotent: bool,
 }
 
-#[derive(Debug, Deserialize)]
-struct ErrorBody {
-    attempt: Option<AttemptId>,
-    restart: Option<u64>,
-    error: Option<String>,
-    #[serde(default)]
-    held: Vec<SnapshotId>,
-    started: Option<bool>,
+impl Drop for UpstreamClient {
+    fn drop(&mut self) {
+        let client = self.client;
+        self.thread.ask(Work::Close { client });
+    }
 }
 
-#[derive(Debug, Deserialize)]
-struct AnswerBody {
-    attempt: AttemptId,
-    restart: Option<u64>,
-    snapshot: SnapshotId,
-    range: KeyRange,
-    documents: u64,
-    hits: Vec<Hit>,
+/// Connections to one upstream.
+struct Upstream {
+    name: Name,
+    addr: SocketAddr,
+    host: HeaderValue,
+    slots: Semaphore,
+    idle: RefCell<Vec<HttpSender>>,
+    /// Cancellations use a connection of their own; otherwise a busy upstream
+    /// would receive them after the answers they are meant to stop.
+    control: Mutex<Option<HttpSender>>,
+    open: Arc<AtomicUsize>,
+    handler: Handler,
 }
 
-/// An agent that keeps one connection. `ureq` does not resend a POST whose
-/// connection was lost.
-fn single_connection_agent() -> Agent {
-    Agent::new_with_config(
-        Agent::config_builder()
-            .http_status_as_error(false)
-            .max_idle_connections(1)
-            .max_idle_connections_per_host(1)
-            .timeout_connect(Some(CONNECT_TIMEOUT))
-            .no_delay(true)
-            .proxy(None)
-            .build(),
-    )
+async fn serve(mut work: mpsc::UnboundedReceiver<(Instant, Work)>) {
+    // Clients have ascending numbers.
+    let mut upstreams: Vec<(u64, Rc<Upstream>)> = Vec::new();
+    while let Some((asked, work)) = work.recv().await {
+        let find = |client: u64| {
+            let at = upstreams.binary_search_by_key(&client, |row| row.0).ok()?;
+            Some(upstreams[at].1.clone())
+        };
+        match work {
+            Work::Open(opening) => {
+                upstreams.push((opening.client, Rc::new(Upstream::new(opening))));
+                upstreams.sort_by_key(|row| row.0);
+            }
+            Work::Send { client, leg } => {
+                if let Some(upstream) = find(client) {
+                    spawn_local(upstream.carry(leg, asked));
+                }
+            }
+            Work::Cancel { client, attempt } => {
+                if let Some(upstream) = find(client) {
+                    spawn_local(async move { upstream.cancel(attempt).await });
+                }
+            }
+            Work::Health { client } => {
+                if let Some(upstream) = find(client) {
+                    spawn_local(async move { upstream.probe_health().await });
+                }
+            }
+            // Legs that are open keep the upstream until they end.
+            Work::Close { client } => upstreams.retain(|row| row.0 != client),
+        }
+    }
 }
 
-/// One worker's exchanges with its upstream.
-struct Exchange {
-    url: String,
-    name: Name,
-    agent: Agent,
-    handler: Handler,
-}
+impl Upstream {
+    fn new(opening: Opening) -> Self {
+        let Opening {
+            client: _,
+            name,
+            addr,
+            slots,
+            open,
+            handler,
+        } = opening;
+        Self {
+            name,
+            addr,
+            host: HeaderValue::from_str(&addr.to_string()).expect("addresses are valid"),
+            slots: Semaphore::new(slots),
+            idle: RefCell::default(),
+            control: Mutex::new(None),
+            open,
+            handler,
+        }
+    }
 
-impl Exchange {
-    fn run(&mut self, job: &Job) {
+    async fn carry(self: Rc<Self>, leg: LegRequest, asked: Instant) {
+        let deadline = asked + leg.budget;
+        let slot = self.slots.acquire().await.expect("it is never closed");
         let start = Instant::now();
         let mut signs = UpstreamSigns::default();
-        let result = match job.deadline.checked_duration_since(start) {
+        let result = match deadline.checked_duration_since(start) {
             // A resumed process must not start work that has expired.
             None => LegResult::Refused(Refusal::DeadlinePassed),
-            Some(left) => self.call(&job.leg, left, &mut signs),
+            Some(left) => {
+                let sent = Cell::new(false);
+                let call = self.call(&leg, left, &mut signs, &sent);
+                match timeout(left + ANSWER_GRACE, call).await {
+                    Ok(result) => result,
+                    Err(_) if sent.get() => LegResult::Failed(LegFailure::TimedOut),
+                    Err(_) => LegResult::Refused(Refusal::Unreachable),
+                }
+            }
         };
+        drop(slot);
         signs.latency = start.elapsed();
-        if result == LegResult::Failed(LegFailure::Mismatched) {
-            // Another answer may follow on this connection; drop it.
-            self.agent = single_connection_agent();
-        }
+        self.open.fetch_sub(1, Ordering::AcqRel);
         (self.handler)(UpstreamEvent::Finished {
             upstream: self.name.clone(),
-            attempt: job.leg.attempt,
+            attempt: leg.attempt,
             result,
             signs,
         });
     }
 
-    fn call(&self, leg: &LegRequest, left: Duration, signs: &mut UpstreamSigns) -> LegResult {
-        let body = LegBody {
-            attempt: leg.attempt,
-            search: &leg.search,
-            snapshot: leg.snapshot,
-            range: leg.range,
-            body: &leg.body,
-            deadline_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX).max(1),
-            idempotent: leg.idempotent,
-        };
-        let sent = self
-            .agent
-            .post(&self.url)
-            .config()
-            .timeout_global(Some(left + ANSWER_GRACE))
-            .build()
-            .send_json(&body);
-        let mut resp = match sent {
-            Ok(resp) => resp,
-            Err(error) => return failure(&error),
-        };
-        let status = resp.status().as_u16();
-        let text = resp
-            .body_mut()
-            .with_config()
-            .limit(ANSWER_LIMIT_BYTES)
-            .read_to_vec();
-        match text {
-            Ok(text) if status == 200 => read_answer(leg, &text, signs),
-            Ok(text) => read_error(leg, status, &text, signs),
-            Err(error) => failure(&error),
+    /// Sends a leg and reads its answer; `sent` tells from when on it may run.
+    async fn call(
+        &self,
+        leg: &LegRequest,
+        left: Duration,
+        signs: &mut UpstreamSigns,
+        sent: &Cell<bool>,
+    ) -> LegResult {
+        let body = Bytes::from(encode_leg(leg, left));
+        let mut request = self.request(Method::POST, "/v1/leg", body);
+        loop {
+            let idle = self.idle.borrow_mut().pop();
+            let is_new = idle.is_none();
+            let mut sender = match idle {
+                Some(sender) => sender,
+                None => match connect(&self.name, self.addr, CONNECT_TIMEOUT).await {
+                    Ok(sender) => sender,
+                    Err(error) => {
+                        log::debug!("event=connect_failed peer={} reason=\"{error}\"", self.name);
+                        return LegResult::Refused(Refusal::Unreachable);
+                    }
+                },
+            };
+            if sender.ready().await.is_err() && !is_new {
+                continue;
+            }
+            sent.set(true);
+            let response = match sender.try_send_request(request).await {
+                Ok(response) => response,
+                Err(mut error) => match error.take_message() {
+                    // Nothing was written; an idle connection had ended.
+                    Some(unsent) if !is_new => {
+                        sent.set(false);
+                        request = unsent;
+                        continue;
+                    }
+                    Some(_) => return LegResult::Refused(Refusal::Unreachable),
+                    None => return LegResult::Failed(LegFailure::Disconnected),
+                },
+            };
+            let status = response.status().as_u16();
+            let body = Limited::new(response.into_body(), ANSWER_LIMIT_BYTES);
+            let Ok(body) = body.collect().await else {
+                return LegResult::Failed(LegFailure::Disconnected);
+            };
+            let result = read_result(leg, status, &body.to_bytes(), signs);
+            // Another answer may follow on the connection of a mismatched one.
+            if result != LegResult::Failed(LegFailure::Mismatched) {
+                self.idle.borrow_mut().push(sender);
+            }
+            return result;
         }
     }
-}
 
-/// Maps a transport error; only a connection that was never made proves that
-/// the leg did not run.
-fn failure(error: &ureq::Error) -> LegResult {
-    match error {
-        ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => {
-            LegResult::Refused(Refusal::Unreachable)
-        }
-        ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => {
-            LegResult::Refused(Refusal::Unreachable)
-        }
-        ureq::Error::Io(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-            LegResult::Refused(Refusal::Unreachable)
-        }
-        ureq::Error::Timeout(_) => LegResult::Failed(LegFailure::TimedOut),
-        _ => LegResult::Failed(LegFailure::Disconnected),
+    async fn cancel(&self, attempt: AttemptId) {
+        let path = format!("/v1/leg/{attempt}");
+        self.control_call(Method::DELETE, &path).await;
     }
-}
 
-fn read_answer(leg: &LegRequest, text: &[u8], signs: &mut UpstreamSigns) -> LegResult {
-    let Ok(body) = serde_json::from_slice::<AnswerBody>(text) else {
-        return LegResult::Failed(LegFailure::Upstream);
-    };
-    signs.restart_id = body.restart;
-    let answer = LegAnswer {
-        attempt: body.attempt,
-        snapshot: body.snapshot,
-        range: body.range,
-        documents: body.documents,
-        hits: body.hits,
-    };
-    let matches = answer.attempt == leg.attempt
-        && answer.snapshot == leg.snapshot
-        && answer.range == leg.range
-        && answer.hits.iter().all(|hit| leg.range.contains(hit.key));
-    if matches {
-        LegResult::Answer(answer)
-    } else {
-        LegResult::Failed(LegFailure::Mismatched)
+    async fn probe_health(&self) {
+        let answer = self.control_call(Method::GET, "/v1/health").await;
+        if let Some(leaving) = answer.and_then(|text| read_leaving(&text)) {
+            (self.handler)(UpstreamEvent::Health {
+                upstream: self.name.clone(),
+                leaving,
+            });
+        }
     }
-}
 
-fn read_error(leg: &LegRequest, status: u16, text: &[u8], signs: &mut UpstreamSigns) -> LegResult {
-    let Ok(body) = serde_json::from_slice::<ErrorBody>(text) else {
-        return LegResult::Failed(LegFailure::Upstream);
-    };
-    signs.restart_id = body.restart;
-    if body.attempt != Some(leg.attempt) {
-        return LegResult::Failed(LegFailure::Mismatched);
+    async fn control_call(&self, method: Method, path: &str) -> Option<Bytes> {
+        let request = self.request(method, path, Bytes::new());
+        let mut kept = self.control.lock().await;
+        let idle = kept.take();
+        let exchange = async {
+            let mut sender = match idle {
+                Some(sender) if !sender.is_closed() => sender,
+                _ => connect(&self.name, self.addr, CONNECT_TIMEOUT)
+                    .await
+                    .map_err(|error| error.to_string())?,
+            };
+            sender.ready().await.map_err(|error| error.to_string())?;
+            let response = sender.send_request(request);
+            let response = response.await.map_err(|error| error.to_string())?;
+            let body = Limited::new(response.into_body(), ANSWER_LIMIT_BYTES);
+            let body = body.collect().await.map_err(|error| error.to_string())?;
+            Ok::<_, String>((sender, body.to_bytes()))
+        };
+        let error = match timeout(CONTROL_TIMEOUT, exchange).await {
+            Ok(Ok((sender, body))) => {
+                *kept = Some(sender);
+                return Some(body);
+            }
+            Ok(Err(error)) => error,
+            Err(_) => "timeout".to_owned(),
+        };
+        log::debug!(
+            "event=control_failed peer={} path={path} reason=\"{error}\"",
+            self.name
+        );
+        None
     }
-    match (status, body.error.as_deref()) {
-        (409, Some("snapshot_missing")) => {
-            LegResult::Refused(Refusal::SnapshotMissing { held: body.held })
-        }
-        (429, Some("shed")) => LegResult::Refused(Refusal::Shed),
-        (503, Some("draining")) => {
-            signs.leaving = true;
-            LegResult::Refused(Refusal::Leaving)
-        }
-        (504, _) if body.started == Some(false) => LegResult::Refused(Refusal::DeadlinePassed),
-        (504, _) => LegResult::Failed(LegFailure::TimedOut),
-        _ => LegResult::Failed(LegFailure::Upstream),
+
+    fn request(&self, method: Method, path: &str, body: Bytes) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = method;
+        *request.uri_mut() = path.parse().expect("paths of upstreams are valid");
+        let headers = request.headers_mut();
+        headers.insert(header::HOST, self.host.clone());
+        headers.insert(
+            header::CONTENT_TYPE,
+            HeaderValue::from_static("application/json"),
+        );
+        request
     }
 }
--- a/crates/cornelwinch_http/src/relay.rs
+++ b/crates/cornelwinch_http/src/connection.rs
@@ -1,5 +1,6 @@
 use std::io;
 use std::net::SocketAddr;
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -11,13 +12,14 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-use crate::backend::{BackendAnswer, Backends, read_answer};
-use crate::exchange::{Exchange, ExchangeTable};
+use crate::HttpRequest;
+use crate::exchange::Exchange;
 use crate::head::{
-    BODY_TOO_LARGE, EXCHANGE_FIELD, HEAD_BYTES, HEAD_TOO_LARGE, Refusal, RequestHead,
-    parse_request, refusal_text,
+    BODY_NOT_TEXT, BODY_TOO_LARGE, HEAD_BYTES, HEAD_TOO_LARGE, Refusal, RequestHead, parse_request,
+    refusal_text,
 };
-use crate::pool::ListenerState;
+use crate::responder::{Answer, Reply, Responder};
+use crate::thread::ListenerState;
 
 /// A body has to be complete within this multiple of the idle time, so that a
 /// caller cannot hold a connection by sending single bytes.
@@ -40,11 +42,11 @@
     error: "too many connections",
 };
 
-pub(crate) enum RelayCommand {
+pub(crate) enum Command {
     Listen(Listening),
 }
 
-/// A bound listener on its way to the relay.
+/// A bound listener on its way to the thread.
 pub(crate) struct Listening {
     pub(crate) listener: std::net::TcpListener,
     pub(crate) state: Arc<ListenerState>,
@@ -54,52 +56,25 @@
     pub(crate) closing: Sender<()>,
 }
 
-/// What all connections of a pool share.
-struct RelayState {
-    table: Arc<ExchangeTable>,
-    backends: Arc<Backends>,
-    next_connection: AtomicU64,
-}
-
-pub(crate) fn run_relay(
-    mut commands: mpsc::UnboundedReceiver<RelayCommand>,
-    table: Arc<ExchangeTable>,
-    backends: Arc<Backends>,
-) {
-    let runtime = match tokio::runtime::Builder::new_current_thread()
-        .enable_io()
-        .enable_time()
-        .build()
-    {
-        Ok(runtime) => runtime,
-        Err(error) => {
-            log::error!("event=relay_not_started error={error}");
-            return;
-        }
-    };
-    let relay = Arc::new(RelayState {
-        table,
-        backends,
-        next_connection: AtomicU64::new(0),
-    });
-    runtime.block_on(async move {
-        let mut listeners = JoinSet::new();
-        loop {
-            tokio::select! {
-                command = commands.recv() => match command {
-                    Some(RelayCommand::Listen(listening)) => {
-                        listeners.spawn(listen(listening, relay.clone()));
-                    }
-                    None => break,
-                },
-                Some(_) = listeners.join_next() => {}
-            }
+/// Serves listeners until the last handle of the thread is dropped.
+pub(crate) async fn run_listeners(mut commands: mpsc::UnboundedReceiver<Command>) {
+    let next_connection = Arc::new(AtomicU64::new(0));
+    let mut listeners = JoinSet::new();
+    loop {
+        tokio::select! {
+            command = commands.recv() => match command {
+                Some(Command::Listen(listening)) => {
+                    listeners.spawn(listen(listening, next_connection.clone()));
+                }
+                None => break,
+            },
+            Some(_) = listeners.join_next() => {}
         }
-    });
+    }
 }
 
 /// Accepts callers until the server is dropped, then closes their sockets.
-async fn listen(listening: Listening, relay: Arc<RelayState>) {
+async fn listen(listening: Listening, next_connection: Arc<AtomicU64>) {
     let Listening {
         listener,
         state,
@@ -133,15 +108,14 @@
                         }
                         continue;
                     }
-                    let relay = relay.clone();
+                    let connection = next_connection.fetch_add(1, Ordering::Relaxed);
                     callers.spawn(async move {
                         let caller = Caller {
                             stream,
                             peer,
-                            connection: relay.next_connection.fetch_add(1, Ordering::Relaxed),
+                            connection,
                             buf: Vec::new(),
                             state: open.owner.clone(),
-                            relay,
                         };
                         if let Err(error) = caller.serve().await {
                             log::debug!("event=caller_cut peer={peer} error={error}");
@@ -158,8 +132,8 @@
     }
     callers.shutdown().await;
     drop(listener);
-    // Before the server goes on: the handler may own other servers, and the
-    // relay must not be the one to drop them, since a drop waits for the relay.
+    // Before the server goes on: the handler may own other servers, and this thread
+    // must not be the one to drop them, since a drop waits for this thread.
     drop(state);
     drop(closing);
 }
@@ -197,7 +171,6 @@
     /// Bytes read and not yet used.
     buf: Vec<u8>,
     state: Arc<ListenerState>,
-    relay: Arc<RelayState>,
 }
 
 impl Caller {
@@ -217,13 +190,24 @@
                 refuse(self.stream, BODY_TOO_LARGE).await;
                 return Ok(());
             }
-            let request = self.read_body(&head).await?;
-            let Some(answer) = self.exchange(&head, request, first).await? else {
+            let body = self.read_body(&head).await?;
+            let Ok(body) = String::from_utf8(body) else {
+                refuse(self.stream, BODY_NOT_TEXT).await;
+                return Ok(());
+            };
+            let (is_head, http_10) = (head.method == "HEAD", head.http_10);
+            let stays = head.keep_alive;
+            let Some(answer) = self.exchange(head, body, first).await? else {
                 return Ok(());
             };
             first = false;
-            let keep_alive = head.keep_alive && self.state.keep_alive.load(Ordering::Acquire);
-            self.write_answer(&head, answer, keep_alive).await?;
+            let keep_alive = stays && self.state.keep_alive.load(Ordering::Acquire);
+            let connection = match (keep_alive, http_10) {
+                (false, _) => "Connection: close\r\n",
+                (true, true) => "Connection: keep-alive\r\n",
+                (true, false) => "",
+            };
+            self.write(&answer.into_bytes(connection, is_head)).await?;
             if !keep_alive {
                 self.stream.shutdown().await?;
                 linger(&mut self.stream).await;
@@ -284,78 +268,65 @@
         Ok(std::mem::replace(&mut self.buf, rest))
     }
 
-    /// Passes the request to `tiny_http` and waits for its answer, or for the
+    /// Passes the request to the handler and waits for its answer, or for the
     /// caller to disconnect (`None`).
     async fn exchange(
         &mut self,
-        head: &RequestHead,
-        body: Vec<u8>,
+        head: RequestHead,
+        body: String,
         first: bool,
-    ) -> io::Result<Option<BackendAnswer>> {
-        let exchange = Arc::new(Exchange::new(
-            self.peer,
-            self.state.local,
-            self.connection,
-            first,
-            self.state.handler.clone(),
-        ));
-        let mut backend = self.relay.backends.take().await?;
-        let id = self.relay.table.insert(exchange.clone());
+    ) -> io::Result<Option<Answer>> {
+        let exchange = Arc::new(Exchange::new(self.peer));
         // Covers every way out, also when the server is dropped.
-        let pending = PendingGuard {
-            exchange: &exchange,
-            table: &self.relay.table,
-            id,
+        let _pending = PendingGuard(&exchange);
+        let (responder, reply) = Responder::new(exchange.clone());
+        let request = HttpRequest {
+            method: head.method,
+            target: head.target,
+            headers: head.headers,
+            body,
+            peer: self.peer,
+            local: self.state.local,
+            connection: self.connection,
+            first,
+            responder,
         };
-        let mut request = format!(
-            "{}{EXCHANGE_FIELD}: {id}\r\ncontent-length: {}\r\n\r\n",
-            head.forward,
-            body.len()
-        )
-        .into_bytes();
-        request.extend_from_slice(&body);
-        backend.write_all(&request).await?;
-        let answer = {
-            let mut answer = std::pin::pin!(read_answer(&mut backend, head.is_head));
-            loop {
-                // No more is read ahead than a head, or a caller could fill
-                // the memory while it waits.
-                let may_read = self.buf.len() < AHEAD_BYTES;
-                tokio::select! {
-                    answer = &mut answer => break answer?,
-                    read = self.stream.read_buf(&mut self.buf), if may_read => {
-                        if read? == 0 {
-                            return Ok(None);
-                        }
+        let handler = &self.state.handler;
+        // A panic drops the responder, which answers 500, and must not end the
+        // thread.
+        if catch_unwind(AssertUnwindSafe(|| handler(request))).is_err() {
+            log::error!("event=handler_panicked peer={}", self.peer);
+        }
+        let mut reply = std::pin::pin!(reply);
+        let reply = loop {
+            // No more is read ahead than a head, or a caller could fill the memory
+            // while it waits.
+            let may_read = self.buf.len() < AHEAD_BYTES;
+            tokio::select! {
+                biased;
+                reply = &mut reply => break reply,
+                read = self.stream.read_buf(&mut self.buf), if may_read => {
+                    if read? == 0 {
+                        return Ok(None);
                     }
                 }
             }
         };
         exchange.mark_answered();
-        drop(pending);
-        self.relay.backends.put(backend);
-        if exchange.reset_asked() {
-            // Lingering for no time makes the close a reset.
-            self.stream.set_zero_linger()?;
-            return Ok(None);
+        match reply {
+            Ok(Reply::Answer(answer)) => Ok(Some(answer)),
+            Ok(Reply::Reset) => {
+                // Lingering for no time makes the close a reset.
+                self.stream.set_zero_linger()?;
+                Ok(None)
+            }
+            // A responder sends a reply when it is dropped.
+            Err(error) => Err(io::Error::other(error)),
         }
-        Ok(Some(answer))
     }
 
-    async fn write_answer(
-        &mut self,
-        head: &RequestHead,
-        answer: BackendAnswer,
-        keep_alive: bool,
-    ) -> io::Result<()> {
-        let connection = match (keep_alive, head.http_10) {
-            (false, _) => "Connection: close\r\n",
-            (true, true) => "Connection: keep-alive\r\n",
-            (true, false) => "",
-        };
-        let mut buf = format!("{}{connection}\r\n", answer.head.forward).into_bytes();
-        buf.extend_from_slice(&answer.body);
-        let mut rest = buf.as_slice();
+    async fn write(&mut self, buf: &[u8]) -> io::Result<()> {
+        let mut rest = buf;
         while !rest.is_empty() {
             let written = timeout(self.state.limits.idle, self.stream.write(rest)).await??;
             if written == 0 {
@@ -367,22 +338,16 @@
     }
 }
 
-/// Marks the caller as gone unless it was answered, and withdraws a request
-/// that no worker has taken yet.
-struct PendingGuard<'a> {
-    exchange: &'a Exchange,
-    table: &'a ExchangeTable,
-    id: u64,
-}
+/// Marks the caller as gone unless it was answered.
+struct PendingGuard<'a>(&'a Exchange);
 
 impl Drop for PendingGuard<'_> {
     fn drop(&mut self) {
-        self.table.remove(self.id);
-        self.exchange.mark_gone();
+        self.0.mark_gone();
     }
 }
 
-/// Answers with the relay's own text and closes.
+/// Answers without a handler and closes.
 async fn refuse(mut stream: TcpStream, refusal: Refusal) {
     let text = refusal_text(refusal);
     if let Ok(Ok(())) = timeout(LINGER, stream.write_all(text.as_bytes())).await
--- a/crates/cornelwinch_http/src/error.rs
+++ b/crates/cornelwinch_http/src/error.rs
@@ -16,21 +16,15 @@
         /// Error of the system.
         source: io::Error,
     },
-    /// The loopback listener behind the relay could not be started.
-    #[snafu(display("starting the loopback listener: {message}"))]
-    Backend {
-        /// Error as text.
-        message: String,
-    },
     /// A thread could not be started.
     #[snafu(display("starting thread {name}: {source}"))]
     Thread {
         /// Name of the thread.
-        name: String,
+        name: &'static str,
         /// Error of the system.
         source: io::Error,
     },
-    /// The pool's relay has ended.
-    #[snafu(display("the relay has ended"))]
+    /// The thread of the listener has ended.
+    #[snafu(display("the thread of the listener has ended"))]
     Closed,
 }
--- a/crates/cornelwinch_http/src/exchange.rs
+++ b/crates/cornelwinch_http/src/exchange.rs
@@ -1,8 +1,5 @@
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
-
-use crate::pool::Handler;
+use std::sync::{Mutex, PoisonError};
 
 type GoneHook = Box<dyn FnOnce() + Send>;
 
@@ -13,33 +10,17 @@
     Answered,
 }
 
-/// One request between the relay and the handler.
+/// One request between its connection and the handler.
 pub(crate) struct Exchange {
     pub(crate) peer: SocketAddr,
-    pub(crate) local: SocketAddr,
-    pub(crate) connection: u64,
-    pub(crate) first: bool,
-    pub(crate) handler: Arc<Handler>,
     state: Mutex<CallerState>,
-    reset: AtomicBool,
 }
 
 impl Exchange {
-    pub(crate) fn new(
-        peer: SocketAddr,
-        local: SocketAddr,
-        connection: u64,
-        first: bool,
-        handler: Arc<Handler>,
-    ) -> Self {
+    pub(crate) fn new(peer: SocketAddr) -> Self {
         Self {
             peer,
-            local,
-            connection,
-            first,
-            handler,
             state: Mutex::new(CallerState::Waiting(None)),
-            reset: AtomicBool::new(false),
         }
     }
 
@@ -80,37 +61,4 @@
             CallerState::Answered => {}
         }
     }
-
-    /// Asks the relay to reset the caller's connection in place of an answer.
-    pub(crate) fn ask_reset(&self) {
-        self.reset.store(true, Ordering::Release);
-    }
-
-    pub(crate) fn reset_asked(&self) -> bool {
-        self.reset.load(Ordering::Acquire)
-    }
-}
-
-/// Exchanges in progress by ascending number.
-#[derive(Default)]
-pub(crate) struct ExchangeTable {
-    next: AtomicU64,
-    rows: Mutex<Vec<(u64, Arc<Exchange>)>>,
-}
-
-impl ExchangeTable {
-    pub(crate) fn insert(&self, exchange: Arc<Exchange>) -> u64 {
-        let mut rows = self.rows.lock().unwrap_or_else(PoisonError::into_inner);
-        // Numbers are taken under the lock, so that pushing keeps the order.
-        let id = self.next.fetch_add(1, Ordering::Relaxed);
-        rows.push((id, exchange));
-        id
-    }
-
-    /// Takes an exchange out, so that each number is served at most once.
-    pub(crate) fn remove(&self, id: u64) -> Option<Arc<Exchange>> {
-        let mut rows = self.rows.lock().unwrap_or_else(PoisonError::into_inner);
-        let i = rows.binary_search_by_key(&id, |row| row.0).ok()?;
-        Some(rows.remove(i).1)
-    }
 }
--- a/crates/cornelwinch_http/src/head.rs
+++ b/crates/cornelwinch_http/src/head.rs
@@ -1,14 +1,12 @@
-use std::fmt::Write;
+use http::StatusCode;
 
 /// Largest request or answer head.
 pub(crate) const HEAD_BYTES: usize = 16 * 1024;
 /// Largest number of header fields.
 const HEADER_FIELDS: usize = 64;
-/// Name of the field that carries the exchange's number to `tiny_http`.
-pub(crate) const EXCHANGE_FIELD: &str = "x-cornelwinch-exchange";
 
 /// Fields that concern one connection and are not passed on.
-const CONNECTION_FIELDS: [&str; 9] = [
+const CONNECTION_FIELDS: [&str; 8] = [
     "connection",
     "keep-alive",
     "proxy-connection",
@@ -17,10 +15,9 @@
     "upgrade",
     "expect",
     "content-length",
-    EXCHANGE_FIELD,
 ];
 
-/// Why a request is refused by the relay.
+/// Why a request is refused before it reaches the handler.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Refusal {
     pub(crate) status: u16,
@@ -35,8 +32,8 @@
     status: 431,
     error: "header too large",
 };
-/// The relay has to know the length before it accepts a body, so that a body
-/// over the limit is refused without being read.
+/// The length has to be known before a body is accepted, so that a body over the
+/// limit is refused without being read.
 const LENGTH_REQUIRED: Refusal = Refusal {
     status: 411,
     error: "content-length required",
@@ -46,7 +43,12 @@
     error: "body too large",
 };
 
-/// A request head as the relay needs it.
+pub(crate) const BODY_NOT_TEXT: Refusal = Refusal {
+    status: 400,
+    error: "body is not UTF-8",
+};
+
+/// A request head.
 pub(crate) struct RequestHead {
     /// Bytes of the head in the caller's stream.
     pub(crate) len: usize,
@@ -54,9 +56,12 @@
     pub(crate) keep_alive: bool,
     pub(crate) http_10: bool,
     pub(crate) expects_continue: bool,
-    pub(crate) is_head: bool,
-    /// Request line and fields to pass on, without the final empty line.
-    pub(crate) forward: String,
+    /// Method in upper case.
+    pub(crate) method: String,
+    /// Path with query.
+    pub(crate) target: String,
+    /// Fields with lower-case names, without those that concern the connection.
+    pub(crate) headers: Vec<(String, String)>,
 }
 
 /// Parses a request head; `None` if it is not complete.
@@ -79,10 +84,10 @@
         keep_alive: !http_10,
         http_10,
         expects_continue: false,
-        is_head: method == "HEAD",
-        forward: format!("{method} {path} HTTP/1.1\r\n"),
+        method: method.to_ascii_uppercase(),
+        target: path.to_owned(),
+        headers: Vec::new(),
     };
-    // The path is forwarded to a parser that accepts ASCII only.
     if !path.is_ascii() {
         return Err(MALFORMED);
     }
@@ -121,58 +126,24 @@
             _ => {}
         }
         if !CONNECTION_FIELDS.contains(&name.as_str()) {
-            let _ = write!(head.forward, "{name}: {value}\r\n");
+            head.headers.push((name, value.to_owned()));
         }
     }
     Ok(Some(head))
 }
 
-/// An answer head from `tiny_http`.
-pub(crate) struct AnswerHead {
-    pub(crate) len: usize,
-    pub(crate) content_length: usize,
-    pub(crate) status: u16,
-    /// Status line and fields to pass on, without the final empty line.
-    pub(crate) forward: String,
-}
-
-/// Parses an answer head; `Ok(None)` if it is not complete.
-pub(crate) fn parse_answer(buf: &[u8]) -> Result<Option<AnswerHead>, httparse::Error> {
-    let mut fields = [httparse::EMPTY_HEADER; HEADER_FIELDS];
-    let mut answer = httparse::Response::new(&mut fields);
-    let httparse::Status::Complete(len) = answer.parse(buf)? else {
-        return Ok(None);
-    };
-    let status = answer.code.unwrap_or(500);
-    let reason = answer.reason.unwrap_or_default();
-    let mut head = AnswerHead {
-        len,
-        content_length: 0,
-        status,
-        forward: format!("HTTP/1.1 {status} {reason}\r\n"),
-    };
-    for field in answer.headers.iter() {
-        let value = String::from_utf8_lossy(field.value);
-        if field.name.eq_ignore_ascii_case("content-length") {
-            head.content_length = value.trim().parse().unwrap_or(0);
-            // RFC 9110, 8.6: no length in an answer with status 204.
-            if status == 204 {
-                continue;
-            }
-        }
-        if !field.name.eq_ignore_ascii_case("server")
-            && !field.name.eq_ignore_ascii_case("connection")
-        {
-            let _ = write!(head.forward, "{}: {value}\r\n", field.name);
-        }
-    }
-    Ok(Some(head))
+/// Usual reason phrase of a status.
+pub(crate) fn reason_phrase(status: u16) -> &'static str {
+    StatusCode::from_u16(status)
+        .ok()
+        .and_then(|status| status.canonical_reason())
+        .unwrap_or("Unknown")
 }
 
-/// Text of an answer that the relay gives itself.
+/// Text of a refusal without a handler.
 pub(crate) fn refusal_text(refusal: Refusal) -> String {
     let Refusal { status, error } = refusal;
-    let reason = tiny_http::StatusCode(status).default_reason_phrase();
+    let reason = reason_phrase(status);
     let body = format!(r#"{{"outcome":"not_run","error":"{error}"}}"#);
     format!(
         "HTTP/1.1 {status} {reason}\r\nContent-Type: application/json\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
--- a/crates/cornelwinch_http/src/lib.rs
+++ b/crates/cornelwinch_http/src/lib.rs
@@ -1,20 +1,21 @@
-//! HTTP listener with bounds on connections, body size and idle time.
+//! HTTP listener with bounds on connections, body size and idle time, and
+//! connections to servers.
 //!
-//! `tiny_http` starts a thread per connection and has no read timeout. A relay
-//! in front of it owns the callers' sockets, reads each request whole within
-//! the limits, and only then passes it on over a loopback connection. Thus a
-//! slow or silent caller costs a socket and a buffer, but no thread.
+//! One thread owns the callers' sockets, reads each request whole within the
+//! limits and runs the handler. A slow or silent caller costs a socket and a
+//! buffer, but no thread.
 
-mod backend;
+mod client;
+mod connection;
 mod error;
 mod exchange;
 mod head;
-mod pool;
-mod relay;
 mod request;
 mod responder;
+mod thread;
 
+pub use client::{HttpSender, connect};
 pub use error::HttpError;
-pub use pool::{HttpLimits, HttpPool, HttpServer, bind};
 pub use request::HttpRequest;
 pub use responder::Responder;
+pub use thread::{HttpLimits, HttpServer, HttpThread, bind};
--- a/crates/cornelwinch_http/src/request.rs
+++ b/crates/cornelwinch_http/src/request.rs
@@ -18,7 +18,7 @@
     pub peer: SocketAddr,
     /// Address that the caller connected to.
     pub local: SocketAddr,
-    /// Number of the caller's connection, unique within a pool.
+    /// Number of the caller's connection, unique within a thread.
     pub connection: u64,
     /// Whether this is the first request of its connection.
     pub first: bool,
--- a/crates/cornelwinch_http/tests/basic_exchange.rs
+++ b/crates/cornelwinch_http/tests/basic_exchange.rs
@@ -37,8 +37,7 @@
 
 #[test]
 fn request_reaches_the_handler_whole() {
-    // Guards against lost fields, a body cut at a read boundary, and a caller
-    // that sets the relay's own field.
+    // Guards against lost fields and a body cut at a read boundary.
     let server = serve(|req| {
         let text = format!(
             "{} {} {:?} {:?} {} {} {}",
@@ -86,8 +85,7 @@
 
 #[test]
 fn many_wait_at_once() {
-    // Guards against a request that is held up by another caller's, as when
-    // `tiny_http` queues a connection behind a busy thread.
+    // Guards against a request that is held up by another caller's.
     const CALLERS: usize = 40;
     let (tx, rx) = mpsc::channel::<Responder>();
     let server = serve(move |req| tx.send(req.responder).unwrap());
--- a/crates/cornelwinch_http/tests/caller_limits.rs
+++ b/crates/cornelwinch_http/tests/caller_limits.rs
@@ -144,8 +144,8 @@
 
 #[test]
 fn malformed_requests_are_refused() {
-    // Guards against requests that the relay and `tiny_http` could frame
-    // differently, so that one caller's bytes end up in another's request.
+    // Guards against requests that two readers could frame differently, so that
+    // one caller's bytes end up in another's request.
     let server = serve(HttpLimits::default(), |req| {
         req.responder.text(200, req.body);
     });
@@ -178,8 +178,8 @@
 
 #[test]
 fn slow_reader_blocks_nobody() {
-    // Guards against one writer thread that waits for a caller which does not
-    // read, and against a caller that holds a large answer for ever.
+    // Guards against a thread that waits for a caller which does not read, and
+    // against a caller that holds a large answer for ever.
     const LARGE: usize = 64 * 1024 * 1024;
     let server = serve(short_idle(), |req| match req.path() {
         "/large" => req.responder.text(200, "x".repeat(LARGE)),
--- a/crates/cornelwinch_relay/src/pool.rs
+++ b/crates/cornelwinch_relay/src/pool.rs
@@ -1,14 +1,9 @@
 use std::cell::RefCell;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use cornelwinch_http::HttpSender;
 use cornelwinch_routing::{UpstreamId, UpstreamView};
 use cornelwinch_types::SortedMap;
-use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
-use tokio::time::timeout;
 
 /// Longest wait for a new connection. Links within a region take a millisecond,
 /// an upstream's accept some more.
@@ -20,13 +15,10 @@
 /// Taken off an announced idle time, for the way of the next request.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
-/// Bound on the answer heads of upstreams in bytes.
-const HEAD_BYTES: usize = 64 * 1024;
-
 /// A connection to an upstream with no request on it.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) sender: HttpSender,
     reusable_until: Instant,
     pub(crate) is_new: bool,
 }
@@ -75,12 +67,7 @@
     }
 
     /// Returns a connection after a complete answer.
-    pub(crate) fn release(
-        &self,
-        id: UpstreamId,
-        sender: SendRequest<Full<Bytes>>,
-        keep_alive: Option<Duration>,
-    ) {
+    pub(crate) fn release(&self, id: UpstreamId, sender: HttpSender, keep_alive: Option<Duration>) {
         let idle_time = keep_alive.map_or(IDLE_DEFAULT, |time| time.saturating_sub(IDLE_MARGIN));
         let connection = Connection {
             sender,
@@ -107,21 +94,7 @@
 }
 
 async fn connect(upstream: &UpstreamView) -> Result<Connection, std::io::Error> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(upstream.addr))
-        .await
-        .map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
-    stream.set_nodelay(true)?;
-    let (sender, driver) = http1::Builder::new()
-        .max_buf_size(HEAD_BYTES)
-        .handshake(TokioIo::new(stream))
-        .await
-        .map_err(std::io::Error::other)?;
-    let name = upstream.name.clone();
-    tokio::task::spawn_local(async move {
-        if let Err(error) = driver.await {
-            log::debug!("event=upstream_connection_ended peer={name} reason=\"{error}\"");
-        }
-    });
+    let sender = cornelwinch_http::connect(&upstream.name, upstream.addr, CONNECT_TIMEOUT).await?;
     Ok(Connection {
         sender,
         reusable_until: Instant::now(),
--- a/crates/cornelwinch_relay/src/store.rs
+++ b/crates/cornelwinch_relay/src/store.rs
@@ -2,13 +2,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cornelwinch_http::HttpSender;
 use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{self, HeaderValue};
 use hyper::{Method, Request, StatusCode};
-use hyper_util::rt::TokioIo;
 use snafu::Snafu;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::WriteCall;
@@ -40,7 +38,7 @@
 #[derive(Debug)]
 pub(crate) struct StoreClient {
     addr: SocketAddr,
-    sender: Option<SendRequest<Full<Bytes>>>,
+    sender: Option<HttpSender>,
 }
 
 impl StoreClient {
@@ -118,21 +116,9 @@
         Ok((status, body.to_bytes()))
     }
 
-    async fn connect(&self) -> Result<SendRequest<Full<Bytes>>, StoreError> {
-        let fail = |source| StoreError::Connect { source };
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.addr))
+    async fn connect(&self) -> Result<HttpSender, StoreError> {
+        cornelwinch_http::connect("store", self.addr, CONNECT_TIMEOUT)
             .await
-            .map_err(|_| fail(std::io::ErrorKind::TimedOut.into()))?
-            .map_err(fail)?;
-        stream.set_nodelay(true).map_err(fail)?;
-        let (sender, driver) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|source| StoreError::Call { source })?;
-        tokio::task::spawn_local(async move {
-            if let Err(error) = driver.await {
-                log::debug!("event=store_connection_ended reason=\"{error}\"");
-            }
-        });
-        Ok(sender)
+            .map_err(|source| StoreError::Connect { source })
     }
 }
--- a/crates/cornelwinch_standins/src/platform/mod.rs
+++ b/crates/cornelwinch_standins/src/platform/mod.rs
@@ -53,7 +53,6 @@
         connections: CONNECTIONS,
         body_bytes: VALUE_BYTES,
         idle: IDLE,
-        ..HttpLimits::default()
     };
     let inner = Arc::new(Inner {
         runtime: runtime.clone(),
--- a/crates/cornelwinch_standins/src/runtime.rs
+++ b/crates/cornelwinch_standins/src/runtime.rs
@@ -4,10 +4,7 @@
 use std::thread;
 use std::time::Instant;
 
-use cornelwinch_http::{HttpError, HttpPool};
-
-/// Threads that parse requests and run the handlers of all stand-ins.
-const WORKERS: usize = 2;
+use cornelwinch_http::{HttpError, HttpThread};
 
 static SHARED: Mutex<Weak<Runtime>> = Mutex::new(Weak::new());
 
@@ -19,7 +16,7 @@
 
 /// Threads shared by the stand-ins of a process.
 pub(crate) struct Runtime {
-    pub(crate) http: Arc<HttpPool>,
+    pub(crate) http: Arc<HttpThread>,
     timer: Arc<Timer>,
 }
 
@@ -32,7 +29,7 @@
         }
         let timer = Arc::new(Timer::default());
         let runtime = Arc::new(Self {
-            http: HttpPool::open(WORKERS)?,
+            http: HttpThread::open()?,
             timer: timer.clone(),
         });
         thread::spawn(move || timer.run());
