Feed hosts that return with what has changed

Cause: a host that came back to a source got whole lists. Change: a host says up to which revision it knows each kind; a copy keeps the revision of each object and of removals, and sends what came after it, or whole lists where it does not know. The first list is no longer sent twice. What is fed stands in the log and in a counter.

--- a/crates/cornelwinch_relay/src/core.rs
+++ b/crates/cornelwinch_relay/src/core.rs
@@ -164,14 +164,17 @@
     ) {
         let is_first = self.mirror.borrow().revision(kind).is_none();
         let changes = self.mirror.borrow_mut().apply_list(kind, revision, items);
-        if is_first && let Some(items) = &changes {
+        if is_first && let Some(items) = changes {
+            // Hosts that are fed already may hold objects that the list lacks.
             self.publish(&FeedMessage::List {
                 kind,
                 revision,
                 items: items.clone(),
             });
+            apply_changes(self, kind, items, grace);
+        } else {
+            self.put_in_force(kind, revision, changes, grace);
         }
-        self.put_in_force(kind, revision, changes, grace);
     }
 
     /// Takes over changes of a kind, puts them in force and passes them on.
@@ -214,9 +217,15 @@
 
     /// Passes a message on to the hosts that this one feeds.
     pub(crate) fn publish(&self, message: &FeedMessage) {
-        if self.feed.receiver_count() > 0 {
+        let hosts = self.feed.receiver_count();
+        if hosts > 0 {
+            let buf = encode(message);
+            log::info!(
+                "event=feed_sent {message} bytes={} hosts={hosts}",
+                buf.len()
+            );
             // Without a receiver there is nobody to feed.
-            let _ = self.feed.send(encode(message));
+            let _ = self.feed.send(buf);
         }
     }
 
--- a/crates/cornelwinch_relay/src/feed.rs
+++ b/crates/cornelwinch_relay/src/feed.rs
@@ -1,3 +1,4 @@
+use std::fmt;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -40,6 +41,8 @@
         /// The host follows the store itself.
         is_source: bool,
     },
+    /// What a host that wants to be fed has, up to which revision.
+    Known { revisions: Vec<(Kind, u64)> },
     /// All objects of a kind.
     List {
         kind: Kind,
@@ -65,6 +68,40 @@
     },
 }
 
+impl fmt::Display for FeedMessage {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Hello { is_source, .. } => write!(f, "message=hello source={is_source}"),
+            Self::Known { revisions } => write!(f, "message=known revisions={revisions:?}"),
+            Self::List {
+                kind,
+                revision,
+                items,
+            } => {
+                let count = items.len();
+                write!(
+                    f,
+                    "message=list kind={kind:?} revision={revision} items={count}"
+                )
+            }
+            Self::Changes {
+                kind,
+                revision,
+                items,
+                ..
+            } => {
+                let count = items.len();
+                write!(
+                    f,
+                    "message=changes kind={kind:?} revision={revision} items={count}"
+                )
+            }
+            Self::Crashes { reports } => write!(f, "message=crashes items={}", reports.len()),
+            Self::Beat { age_ms, .. } => write!(f, "message=beat age_ms={age_ms}"),
+        }
+    }
+}
+
 /// Encodes a message.
 pub(crate) fn encode(message: &FeedMessage) -> Bytes {
     let mut buf = Vec::new();
@@ -144,12 +181,37 @@
 
 /// Feeds one host.
 async fn feed_host(shared: &Shared, mut socket: WebSocketStream<TcpStream>) -> String {
+    let is_source = shared.is_source();
+    let hello = FeedMessage::Hello {
+        host: shared.settings.borrow().host.clone(),
+        is_source,
+    };
+    if let Err(reason) = send(&mut socket, encode(&hello)).await {
+        return reason;
+    }
+    if !is_source {
+        return "no_source".to_owned();
+    }
+    let known = match timeout(SEND_TIMEOUT, socket.next()).await {
+        Ok(Some(Ok(Message::Binary(buf)))) => ciborium::from_reader(buf.as_ref()),
+        _ => return "no_revisions".to_owned(),
+    };
+    let Ok(FeedMessage::Known { revisions }) = known else {
+        return "no_revisions".to_owned();
+    };
+    // From here on nothing is awaited before the messages are made, so that no
+    // change falls between them and the subscription.
     let mut changes = shared.feed.subscribe();
-    for message in first_messages(shared) {
-        if let Err(reason) = send(&mut socket, encode(&message)).await {
+    let mut bytes = 0;
+    for message in first_messages(shared, &revisions) {
+        let buf = encode(&message);
+        bytes += buf.len();
+        if let Err(reason) = send(&mut socket, buf).await {
             return reason;
         }
     }
+    log::info!("event=host_fed bytes={bytes}");
+    shared.core.borrow_mut().metrics.feed_bytes += bytes as u64;
     let mut beats = interval(BEAT_EVERY);
     loop {
         let buf = tokio::select! {
@@ -170,29 +232,38 @@
                 Some(Err(error)) => return error.to_string(),
             },
         };
+        shared.core.borrow_mut().metrics.feed_bytes += buf.len() as u64;
         if let Err(reason) = send(&mut socket, buf).await {
             return reason;
         }
     }
 }
 
-fn first_messages(shared: &Shared) -> Vec<FeedMessage> {
-    let is_source = shared.is_source();
-    let mut messages = vec![FeedMessage::Hello {
-        host: shared.settings.borrow().host.clone(),
-        is_source,
-    }];
-    if is_source {
-        let mirror = shared.mirror.borrow();
-        messages.extend(FED_KINDS.into_iter().filter_map(|kind| {
-            Some(FeedMessage::List {
+/// Messages that bring a host up to date which knows these revisions: what has
+/// changed since, or whole lists where that is not known.
+fn first_messages(shared: &Shared, known: &[(Kind, u64)]) -> Vec<FeedMessage> {
+    let mirror = shared.mirror.borrow();
+    let message = |kind: Kind| {
+        let revision = mirror.revision(kind)?;
+        let known = known.iter().find(|(k, _)| *k == kind);
+        let changes = known.and_then(|(_, revision)| mirror.changes_since(kind, *revision));
+        match changes {
+            Some(items) if items.is_empty() => None,
+            Some(items) => Some(FeedMessage::Changes {
+                kind,
+                revision,
+                items,
+                grace_ms: None,
+            }),
+            None => Some(FeedMessage::List {
                 kind,
-                revision: mirror.revision(kind)?,
+                revision,
                 items: mirror.items(kind),
-            })
-        }));
-        messages.push(beat(shared));
-    }
+            }),
+        }
+    };
+    let mut messages: Vec<FeedMessage> = FED_KINDS.into_iter().filter_map(message).collect();
+    messages.push(beat(shared));
     messages
 }
 
--- a/crates/cornelwinch_relay/src/metrics.rs
+++ b/crates/cornelwinch_relay/src/metrics.rs
@@ -43,6 +43,8 @@
     pub(crate) abandoned: u64,
     pub(crate) store_calls: u64,
     pub(crate) store_failures: u64,
+    /// Bytes sent to hosts that this one feeds.
+    pub(crate) feed_bytes: u64,
 }
 
 impl Metrics {
@@ -72,6 +74,7 @@
             ("requests_abandoned_total", self.abandoned),
             ("store_calls_total", self.store_calls),
             ("store_failures_total", self.store_failures),
+            ("feed_bytes_total", self.feed_bytes),
         ];
         for (name, value) in counters {
             push_line(&mut text, format_args!("cornelwinch_{name} {value}"));
--- a/crates/cornelwinch_relay/src/mirror.rs
+++ b/crates/cornelwinch_relay/src/mirror.rs
@@ -2,6 +2,10 @@
 
 use crate::dialect::{Item, Kind, Value};
 
+/// Removed objects that a copy remembers. Beyond it they are forgotten, and a
+/// host that knows less than the copy gets whole lists.
+const REMOVED_LIMIT: usize = 4_096;
+
 /// Copy of the objects of each kind, with the revision up to which it is
 /// complete. What is older than the copy is not taken over, so that a source
 /// that lags does not take back what another one brought.
@@ -13,7 +17,35 @@
 #[derive(Debug, Default)]
 struct Copied {
     revision: u64,
-    objects: SortedMap<Name, Value>,
+    objects: SortedMap<Name, Object>,
+    /// Removed objects with the revision at which they were missing.
+    removed: SortedMap<Name, u64>,
+    /// Revision from which on all removals are known.
+    removed_since: u64,
+}
+
+#[derive(Debug)]
+struct Object {
+    value: Value,
+    /// Revision with which the value came, its change or a later one.
+    changed: u64,
+}
+
+impl Copied {
+    fn put(&mut self, revision: u64, name: Name, value: Value) {
+        self.removed.remove(&name);
+        let changed = revision;
+        self.objects.insert(name, Object { value, changed });
+    }
+
+    fn remove(&mut self, revision: u64, name: Name) {
+        self.objects.remove(&name);
+        if self.removed.len() >= REMOVED_LIMIT {
+            self.removed = SortedMap::new();
+            self.removed_since = revision;
+        }
+        self.removed.insert(name, revision);
+    }
 }
 
 impl Mirror {
@@ -22,6 +54,14 @@
         self.kinds.get(&kind).map(|copied| copied.revision)
     }
 
+    /// Revisions of all kinds that have been listed.
+    pub(crate) fn revisions(&self) -> Vec<(Kind, u64)> {
+        let kinds = self.kinds.iter();
+        kinds
+            .map(|(kind, copied)| (*kind, copied.revision))
+            .collect()
+    }
+
     /// Objects of a kind.
     pub(crate) fn items(&self, kind: Kind) -> Vec<Item> {
         let Some(copied) = self.kinds.get(&kind) else {
@@ -29,13 +69,32 @@
         };
         let objects = copied.objects.iter();
         objects
-            .map(|(name, value)| Item {
+            .map(|(name, object)| Item {
                 name: name.clone(),
-                value: Some(value.clone()),
+                value: Some(object.value.clone()),
             })
             .collect()
     }
 
+    /// What has changed in a kind after a revision; `None` if that is not known.
+    pub(crate) fn changes_since(&self, kind: Kind, revision: u64) -> Option<Vec<Item>> {
+        let copied = self.kinds.get(&kind)?;
+        if revision < copied.removed_since {
+            return None;
+        }
+        let removed = copied.removed.iter().filter(|(_, at)| **at > revision);
+        let removed = removed.map(|(name, _)| Item {
+            name: name.clone(),
+            value: None,
+        });
+        let changed = copied.objects.iter().filter(|(_, o)| o.changed > revision);
+        let changed = changed.map(|(name, object)| Item {
+            name: name.clone(),
+            value: Some(object.value.clone()),
+        });
+        Some(removed.chain(changed).collect())
+    }
+
     /// Takes over a whole list and returns what it changes; `None` if it is older
     /// than the copy.
     pub(crate) fn apply_list(
@@ -44,34 +103,38 @@
         revision: u64,
         items: Vec<Item>,
     ) -> Option<Vec<Item>> {
+        let is_first = !self.kinds.contains_key(&kind);
         let copied = self.kinds.get_or_insert_with(kind, Copied::default);
         if revision < copied.revision {
             return None;
         }
         copied.revision = revision;
-        let mut objects = SortedMap::new();
+        if is_first {
+            copied.removed_since = revision;
+        }
+        let mut listed: Vec<Name> = items.iter().map(|item| item.name.clone()).collect();
+        listed.sort();
+        let missing: Vec<Name> = copied
+            .objects
+            .keys()
+            .filter(|name| listed.binary_search(name).is_err())
+            .cloned()
+            .collect();
+        let mut changes = Vec::new();
+        for name in missing {
+            copied.remove(revision, name.clone());
+            changes.push(Item { name, value: None });
+        }
         for item in items {
-            if let Some(value) = item.value {
-                objects.insert(item.name, value);
+            let known = copied.objects.get(&item.name).map(|object| &object.value);
+            if let Some(value) = &item.value
+                && known != Some(value)
+            {
+                copied.put(revision, item.name.clone(), value.clone());
+                changes.push(item);
             }
         }
-        let old = std::mem::replace(&mut copied.objects, objects);
-        let removed = old
-            .keys()
-            .filter(|name| !copied.objects.contains_key(*name))
-            .map(|name| Item {
-                name: name.clone(),
-                value: None,
-            });
-        let changed = copied
-            .objects
-            .iter()
-            .filter(|(name, value)| old.get(*name) != Some(*value))
-            .map(|(name, value)| Item {
-                name: name.clone(),
-                value: Some(value.clone()),
-            });
-        Some(removed.chain(changed).collect())
+        Some(changes)
     }
 
     /// Takes over changes and returns them; `None` if they are older than the
@@ -89,12 +152,8 @@
         copied.revision = revision;
         for item in &items {
             match &item.value {
-                Some(value) => {
-                    copied.objects.insert(item.name.clone(), value.clone());
-                }
-                None => {
-                    copied.objects.remove(&item.name);
-                }
+                Some(value) => copied.put(revision, item.name.clone(), value.clone()),
+                None => copied.remove(revision, item.name.clone()),
             }
         }
         Some(items)
--- a/crates/cornelwinch_relay/src/subscribe.rs
+++ b/crates/cornelwinch_relay/src/subscribe.rs
@@ -8,7 +8,7 @@
 use tokio_tungstenite::tungstenite::Message;
 
 use crate::core::Shared;
-use crate::feed::{BEAT_EVERY, FEED_PATH, FeedMessage};
+use crate::feed::{BEAT_EVERY, FEED_PATH, FeedMessage, encode, send};
 use crate::follow::WATCH_MARGIN;
 
 /// Longest wait for a connection to a source and its first message.
@@ -43,8 +43,9 @@
 }
 
 impl Subscription {
-    /// Connects to a host and waits for its first message.
-    pub(crate) async fn open(addr: SocketAddr) -> Result<Self, FeedEnd> {
+    /// Connects to a host, waits for its first message and tells it what this host
+    /// knows.
+    pub(crate) async fn open(shared: &Shared, addr: SocketAddr) -> Result<Self, FeedEnd> {
         let open = async {
             let stream = TcpStream::connect(addr)
                 .await
@@ -58,9 +59,15 @@
             match subscription.next().await? {
                 FeedMessage::Hello {
                     is_source: true, ..
-                } => Ok(subscription),
-                _ => Err(FeedEnd::NoSource),
+                } => {}
+                _ => return Err(FeedEnd::NoSource),
             }
+            let revisions = shared.mirror.borrow().revisions();
+            let known = encode(&FeedMessage::Known { revisions });
+            send(&mut subscription.socket, known)
+                .await
+                .map_err(|_| FeedEnd::Lost)?;
+            Ok(subscription)
         };
         timeout(HELLO_TIMEOUT, open)
             .await
@@ -115,7 +122,7 @@
 
 fn take(shared: &Shared, message: FeedMessage) -> Result<(), FeedEnd> {
     match message {
-        FeedMessage::Hello { .. } => {}
+        FeedMessage::Hello { .. } | FeedMessage::Known { .. } => {}
         FeedMessage::List {
             kind,
             revision,
--- a/crates/cornelwinch_relay/src/sync.rs
+++ b/crates/cornelwinch_relay/src/sync.rs
@@ -37,7 +37,7 @@
     loop {
         let sources = candidates(&shared.hosts.borrow(), &me);
         for source in sources {
-            let mut subscription = match Subscription::open(source.peer).await {
+            let mut subscription = match Subscription::open(&shared, source.peer).await {
                 Ok(subscription) => subscription,
                 Err(end) => {
                     log::info!("event=source_refused peer={} reason={end:?}", source.name);
