Answer nothing after a server is dropped in its own thread

Cause: the stand-in of an upstream crashes by dropping its server in a handler. Change: a dropped server is marked, and its connections end without an answer. Test: server_dropped_by_its_handler_answers_nothing, seen failing before.

--- a/crates/cornelwinch_http/src/connection.rs
+++ b/crates/cornelwinch_http/src/connection.rs
@@ -313,6 +313,10 @@
             }
         };
         exchange.mark_answered();
+        if self.state.closed.load(Ordering::Acquire) {
+            // A handler of this thread has dropped the server.
+            return Ok(None);
+        }
         match reply {
             Ok(Reply::Answer(answer)) => Ok(Some(answer)),
             Ok(Reply::Reset) => {
--- a/crates/cornelwinch_http/src/thread.rs
+++ b/crates/cornelwinch_http/src/thread.rs
@@ -46,6 +46,8 @@
     pub(crate) local: SocketAddr,
     pub(crate) handler: Arc<Handler>,
     pub(crate) keep_alive: AtomicBool,
+    /// The server was dropped; nothing more is answered.
+    pub(crate) closed: AtomicBool,
     pub(crate) connections: AtomicUsize,
     pub(crate) requests: AtomicUsize,
 }
@@ -102,6 +104,7 @@
             local,
             handler: Arc::new(handler),
             keep_alive: AtomicBool::new(true),
+            closed: AtomicBool::new(false),
             connections: AtomicUsize::new(0),
             requests: AtomicUsize::new(0),
         });
@@ -166,6 +169,7 @@
 
 impl Drop for HttpServer {
     fn drop(&mut self) {
+        self.state.closed.store(true, Ordering::Release);
         drop(self.stop.take());
         // The port is free once the thread has dropped its end of the channel. The
         // thread would wait for itself, in a handler that drops a server.
--- a/crates/cornelwinch_http/tests/basic_exchange.rs
+++ b/crates/cornelwinch_http/tests/basic_exchange.rs
@@ -154,6 +154,40 @@
     bind(addr, HttpLimits::default(), |_| {}).unwrap();
 }
 
+#[test]
+fn server_dropped_by_its_handler_answers_nothing() {
+    // Guards against answers to other callers between the drop of a server in its
+    // own thread and the end of its connections.
+    let (tx, rx) = mpsc::channel::<Responder>();
+    let (server_tx, server_rx) = mpsc::channel::<HttpServer>();
+    let waiting = std::sync::Mutex::new((rx, server_rx));
+    let server = serve(move |req| {
+        if req.path() == "/wait" {
+            tx.send(req.responder).unwrap();
+            return;
+        }
+        let waiting = waiting.lock().unwrap();
+        drop(waiting.1.recv().unwrap());
+        drop(waiting.0.recv().unwrap());
+        req.responder.empty(204);
+    });
+    let (mut other, mut last) = (connect(&server), connect(&server));
+    other
+        .get_mut()
+        .write_all(b"GET /wait HTTP/1.1\r\n\r\n")
+        .unwrap();
+    while server.requests() == 0 {
+        std::thread::yield_now();
+    }
+    server_tx.send(server).unwrap();
+    last.get_mut()
+        .write_all(b"GET /drop HTTP/1.1\r\n\r\n")
+        .unwrap();
+    for stream in [&mut other, &mut last] {
+        assert_eq!(stream.read(&mut [0; 1]).unwrap_or(0), 0);
+    }
+}
+
 #[test]
 fn older_and_eager_callers_are_served() {
     // Guards against an HTTP/1.0 caller that waits for a close, a caller that
