Feed versions of the desired state as changes

Change: sources send the routes and services that differ and the base version; a host that lacks the base leaves the source and gets the whole version from the next one. Names that are used twice make a version travel whole.

--- a/crates/cornelwinch_relay/src/core.rs
+++ b/crates/cornelwinch_relay/src/core.rs
@@ -4,15 +4,16 @@
 
 use bytes::Bytes;
 use cornelwinch_routing::{
-    BudgetShare, CrashMarks, CrashReport, Fleet, GatherPlan, HostEntry, Repeat, RetryBudget, Route,
-    RouteTable, Service, SplitCursor, Target, UpstreamId, UpstreamShare, UpstreamView,
+    BudgetShare, CrashMarks, CrashReport, DesiredChange, Fleet, GatherPlan, HostEntry, Repeat,
+    RetryBudget, Route, RouteTable, Service, SplitCursor, Target, UpstreamId, UpstreamShare,
+    UpstreamView,
 };
 use cornelwinch_types::{Name, SortedMap};
 use tokio::sync::{broadcast, watch};
 
 use crate::apply::apply_changes;
 use crate::condition::StoreCondition;
-use crate::dialect::{Item, Kind};
+use crate::dialect::{Item, Kind, Value};
 use crate::feed::{FeedMessage, encode};
 use crate::metrics::Metrics;
 use crate::mirror::Mirror;
@@ -163,6 +164,7 @@
         grace: Option<Duration>,
     ) {
         let is_first = self.mirror.borrow().revision(kind).is_none();
+        let version = self.version_change(kind, &items);
         let changes = self.mirror.borrow_mut().apply_list(kind, revision, items);
         if is_first && let Some(items) = changes {
             // Hosts that are fed already may hold objects that the list lacks.
@@ -173,7 +175,7 @@
             });
             apply_changes(self, kind, items, grace);
         } else {
-            self.put_in_force(kind, revision, changes, grace);
+            self.put_in_force(kind, revision, changes, grace, version);
         }
     }
 
@@ -185,11 +187,12 @@
         items: Vec<Item>,
         grace: Option<Duration>,
     ) {
+        let version = self.version_change(kind, &items);
         let changes = self
             .mirror
             .borrow_mut()
             .apply_changes(kind, revision, items);
-        self.put_in_force(kind, revision, changes, grace);
+        self.put_in_force(kind, revision, changes, grace, version);
     }
 
     fn put_in_force(
@@ -198,6 +201,7 @@
         revision: u64,
         changes: Option<Vec<Item>>,
         grace: Option<Duration>,
+        version: Option<(Name, DesiredChange)>,
     ) {
         let Some(items) = changes else {
             log::info!("event=older_ignored kind={kind:?} revision={revision}");
@@ -206,15 +210,42 @@
         if items.is_empty() {
             return;
         }
-        self.publish(&FeedMessage::Changes {
-            kind,
-            revision,
-            items: items.clone(),
-            grace_ms: grace.map(|grace| u64::try_from(grace.as_millis()).unwrap_or(u64::MAX)),
+        self.publish(&match version {
+            Some((name, change)) => FeedMessage::Version {
+                revision,
+                name,
+                change,
+            },
+            None => FeedMessage::Changes {
+                kind,
+                revision,
+                items: items.clone(),
+                grace_ms: grace.map(|grace| u64::try_from(grace.as_millis()).unwrap_or(u64::MAX)),
+            },
         });
         apply_changes(self, kind, items, grace);
     }
 
+    /// What a new version changes in the copy, for the hosts that this one feeds;
+    /// `None` if there is none of them or the version has to be sent whole.
+    fn version_change(&self, kind: Kind, items: &[Item]) -> Option<(Name, DesiredChange)> {
+        if kind != Kind::DesiredState || self.feed.receiver_count() == 0 {
+            return None;
+        }
+        let [
+            Item {
+                name,
+                value: Some(Value::DesiredState(new)),
+            },
+        ] = items
+        else {
+            return None;
+        };
+        let mirror = self.mirror.borrow();
+        let change = DesiredChange::between(mirror.desired(name)?, new)?;
+        Some((name.clone(), change))
+    }
+
     /// Passes a message on to the hosts that this one feeds.
     pub(crate) fn publish(&self, message: &FeedMessage) {
         let hosts = self.feed.receiver_count();
--- a/crates/cornelwinch_relay/src/feed.rs
+++ b/crates/cornelwinch_relay/src/feed.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use cornelwinch_routing::CrashReport;
+use cornelwinch_routing::{CrashReport, DesiredChange};
 use cornelwinch_types::Name;
 use futures_util::{SinkExt, StreamExt};
 use serde::{Deserialize, Serialize};
@@ -57,6 +57,13 @@
         /// How much longer removed entries may only have expired.
         grace_ms: Option<u64>,
     },
+    /// What a new version of the desired state changes.
+    Version {
+        revision: u64,
+        /// Name of the object that holds the desired state.
+        name: Name,
+        change: DesiredChange,
+    },
     /// What hosts have seen of requests that broke upstreams.
     Crashes { reports: Vec<CrashReport> },
     /// The source lives.
@@ -96,6 +103,12 @@
                     "message=changes kind={kind:?} revision={revision} items={count}"
                 )
             }
+            Self::Version {
+                revision, change, ..
+            } => {
+                let version = change.version();
+                write!(f, "message=version revision={revision} version={version}")
+            }
             Self::Crashes { reports } => write!(f, "message=crashes items={}", reports.len()),
             Self::Beat { age_ms, .. } => write!(f, "message=beat age_ms={age_ms}"),
         }
--- a/crates/cornelwinch_relay/src/mirror.rs
+++ b/crates/cornelwinch_relay/src/mirror.rs
@@ -1,3 +1,4 @@
+use cornelwinch_routing::DesiredState;
 use cornelwinch_types::{Name, SortedMap};
 
 use crate::dialect::{Item, Kind, Value};
@@ -95,6 +96,15 @@
         Some(removed.chain(changed).collect())
     }
 
+    /// The desired state under a name.
+    pub(crate) fn desired(&self, name: &Name) -> Option<&DesiredState> {
+        let copied = self.kinds.get(&Kind::DesiredState)?;
+        match &copied.objects.get(name)?.value {
+            Value::DesiredState(state) => Some(state),
+            _ => None,
+        }
+    }
+
     /// Takes over a whole list and returns what it changes; `None` if it is older
     /// than the copy.
     pub(crate) fn apply_list(
--- a/crates/cornelwinch_relay/src/subscribe.rs
+++ b/crates/cornelwinch_relay/src/subscribe.rs
@@ -8,6 +8,7 @@
 use tokio_tungstenite::tungstenite::Message;
 
 use crate::core::Shared;
+use crate::dialect::{Item, Kind, Value};
 use crate::feed::{BEAT_EVERY, FEED_PATH, FeedMessage, encode, send};
 use crate::follow::WATCH_MARGIN;
 
@@ -32,6 +33,8 @@
     Stale,
     /// Its connection ended or went silent.
     Lost,
+    /// It sent a change of something that this host does not have.
+    Gap,
     /// It sent something that cannot be read.
     Malformed,
 }
@@ -137,6 +140,25 @@
             let grace = grace_ms.map(Duration::from_millis);
             shared.take_changes(kind, revision, items, grace);
         }
+        FeedMessage::Version {
+            revision,
+            name,
+            change,
+        } => {
+            let state = {
+                let mirror = shared.mirror.borrow();
+                if mirror.revision(Kind::DesiredState) > Some(revision) {
+                    return Ok(());
+                }
+                mirror.desired(&name).and_then(|state| change.apply(state))
+            };
+            let Some(state) = state else {
+                return Err(FeedEnd::Gap);
+            };
+            let value = Some(Value::DesiredState(Box::new(state)));
+            let items = vec![Item { name, value }];
+            shared.take_changes(Kind::DesiredState, revision, items, None);
+        }
         FeedMessage::Crashes { reports } => shared.take_reports(&reports),
         FeedMessage::Beat { age_ms, is_failing } => {
             let wait = shared.settings.borrow().bounds.watch_wait();
--- /dev/null
+++ b/crates/cornelwinch_routing/src/change.rs
@@ -0,0 +1,100 @@
+use cornelwinch_types::{Name, SortedMap};
+use serde::{Deserialize, Serialize};
+
+use crate::{CallerLimits, DesiredState, Route, Service};
+
+/// What turns one version of the desired state into another, so that a version
+/// of many routes need not be sent whole for a change of one.
+///
+/// ```
+/// use cornelwinch_routing::{CallerLimits, DesiredChange, DesiredState};
+///
+/// let state = |version| DesiredState {
+///     version, routes: vec![], services: vec![], limits: CallerLimits::default(),
+/// };
+/// let change = DesiredChange::between(&state(3), &state(7)).unwrap();
+/// assert_eq!(change.apply(&state(3)), Some(state(7)));
+/// assert_eq!(change.apply(&state(4)), None);
+/// ```
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DesiredChange {
+    /// Version that is changed.
+    base: u64,
+    /// Version that results.
+    version: u64,
+    limits: CallerLimits,
+    routes: Changed<Route>,
+    services: Changed<Service>,
+}
+
+/// Entries of one kind that differ between two versions.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct Changed<T> {
+    /// Entries that are new or differ.
+    put: Vec<T>,
+    removed: Vec<Name>,
+}
+
+impl DesiredChange {
+    /// Compares two versions; `None` if a name is used twice in one of them.
+    pub fn between(old: &DesiredState, new: &DesiredState) -> Option<Self> {
+        Some(Self {
+            base: old.version,
+            version: new.version,
+            limits: new.limits,
+            routes: Changed::between(&old.routes, &new.routes, |route| &route.name)?,
+            services: Changed::between(&old.services, &new.services, |service| &service.name)?,
+        })
+    }
+
+    /// Makes the new version, with its entries in the order of their names; `None`
+    /// if `old` is not the version that is changed.
+    pub fn apply(&self, old: &DesiredState) -> Option<DesiredState> {
+        (old.version == self.base).then(|| DesiredState {
+            version: self.version,
+            limits: self.limits,
+            routes: self.routes.apply(&old.routes, |route| &route.name),
+            services: self.services.apply(&old.services, |service| &service.name),
+        })
+    }
+
+    /// Version that results.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+}
+
+impl<T: Clone + PartialEq> Changed<T> {
+    fn between(old: &[T], new: &[T], name: fn(&T) -> &Name) -> Option<Self> {
+        let (before, after) = (by_name(old, name), by_name(new, name));
+        if before.len() != old.len() || after.len() != new.len() {
+            return None;
+        }
+        let is_new = |(key, value): &(&Name, &&T)| before.get(*key) != Some(*value);
+        let put = after.iter().filter(is_new);
+        let removed = before.keys().filter(|key| !after.contains_key(*key));
+        Some(Self {
+            put: put.map(|(_, value)| T::clone(value)).collect(),
+            removed: removed.cloned().collect(),
+        })
+    }
+
+    fn apply(&self, old: &[T], name: fn(&T) -> &Name) -> Vec<T> {
+        let mut all = by_name(old, name);
+        for key in &self.removed {
+            all.remove(key);
+        }
+        for value in &self.put {
+            all.insert(name(value).clone(), value);
+        }
+        all.values().map(|value| T::clone(value)).collect()
+    }
+}
+
+fn by_name<T>(values: &[T], name: fn(&T) -> &Name) -> SortedMap<Name, &T> {
+    let mut map = SortedMap::new();
+    for value in values {
+        map.insert(name(value).clone(), value);
+    }
+    map
+}
--- a/crates/cornelwinch_routing/src/lib.rs
+++ b/crates/cornelwinch_routing/src/lib.rs
@@ -3,6 +3,7 @@
 //! are merged.
 
 mod budget;
+mod change;
 mod cold;
 mod crashes;
 mod desired;
@@ -14,6 +15,7 @@
 mod table;
 
 pub use budget::{BudgetShare, Repeat, RetryBudget};
+pub use change::DesiredChange;
 pub use cold::ColdRate;
 pub use crashes::{CrashMarks, CrashReport, RequestPrint};
 pub use desired::{CallerLimits, DesiredState, GatherPlan, Route, RouteKind, Service, Target};
--- /dev/null
+++ b/crates/cornelwinch_routing/tests/desired_change.rs
@@ -0,0 +1,92 @@
+//! Changes between versions of the desired state.
+
+use std::time::Duration;
+
+use cornelwinch_routing::{
+    CallerLimits, DesiredChange, DesiredState, GatherPlan, Route, RouteKind, Service, Target,
+};
+
+/// Names from which random versions choose.
+const NAMES: u32 = 12;
+
+fn random_route(rng: &mut fastrand::Rng, n: u32) -> Route {
+    let target = match rng.u32(0..3) {
+        0 => Target::Service(format!("s{}", rng.u32(0..3)).into()),
+        1 => Target::Split(vec![("s0".into(), rng.u32(1..3)), ("s1".into(), 1)]),
+        _ => Target::Gather(GatherPlan {
+            shards: vec!["s0".into(), "s1".into()],
+            top: rng.usize(1..3),
+            min_fraction: 0.5,
+        }),
+    };
+    Route {
+        name: format!("r{n}").into(),
+        host: "search.example".into(),
+        prefix: format!("/{n}/").into(),
+        kind: RouteKind::Idempotent,
+        target,
+        attempts: rng.u32(1..3),
+        timeout: Duration::from_secs(1),
+        goal: Duration::from_millis(100),
+    }
+}
+
+/// Entries are in the order of their names, as a change leaves them.
+fn random_state(rng: &mut fastrand::Rng, version: u64) -> DesiredState {
+    let mut routes = Vec::new();
+    let mut services = Vec::new();
+    for n in 0..NAMES {
+        if rng.bool() {
+            routes.push(random_route(rng, n));
+        }
+        if rng.bool() {
+            services.push(Service {
+                name: format!("s{n}").into(),
+                max_connections: rng.u32(1..3),
+                cold_per_s: None,
+            });
+        }
+    }
+    routes.sort_by(|a, b| a.name.cmp(&b.name));
+    services.sort_by(|a, b| a.name.cmp(&b.name));
+    DesiredState {
+        version,
+        routes,
+        services,
+        limits: CallerLimits {
+            body_bytes: rng.usize(1..3),
+            ..CallerLimits::default()
+        },
+    }
+}
+
+/// Guards against a host that has another desired state than its source after a
+/// series of changes.
+#[test]
+fn changes_lead_to_the_same_version() {
+    for seed in 0..200 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut here = random_state(&mut rng, 1);
+        for version in 2..6 {
+            let there = random_state(&mut rng, version);
+            let change = DesiredChange::between(&here, &there).unwrap();
+            here = change.apply(&here).unwrap();
+            assert_eq!(here, there, "seed {seed}");
+        }
+    }
+}
+
+/// Guards against a change that is applied to another version than its base, and
+/// against entries that share a name and would be merged.
+#[test]
+fn change_fits_its_base_only() {
+    let mut rng = fastrand::Rng::with_seed(1);
+    let (old, new) = (random_state(&mut rng, 1), random_state(&mut rng, 5));
+    let change = DesiredChange::between(&old, &new).unwrap();
+    assert_eq!(change.version(), 5);
+    assert_eq!(change.apply(&new), None);
+    let mut twice = new.clone();
+    twice.routes.push(random_route(&mut rng, 50));
+    twice.routes.push(random_route(&mut rng, 50));
+    assert_eq!(DesiredChange::between(&old, &twice), None);
+}
