Show failed legs, budgets and shares to operators

Cause: a request that failed with 502 led to no line that names the upstream or the reason unless all legs were logged; budgets and shares could not be seen, and the command line did not know relays.

--- a/crates/cornelwinch_cli/src/args.rs
+++ b/crates/cornelwinch_cli/src/args.rs
@@ -27,6 +27,9 @@
     /// Shows the state of hosts
     #[bpaf(command)]
     Status(#[bpaf(external(status_args))] StatusArgs),
+    /// Shows the state or the metrics of relays
+    #[bpaf(command)]
+    Relay(#[bpaf(external(relay_args))] RelayArgs),
     /// Sends a query to a host
     #[bpaf(command)]
     Query(#[bpaf(external(query_args))] QueryArgs),
@@ -117,6 +120,18 @@
     pub(crate) json: bool,
 }
 
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct RelayArgs {
+    /// Metrics address of a relay; may be repeated
+    #[bpaf(argument("ADDR"), some("at least one --relay is needed"))]
+    pub(crate) relay: Vec<SocketAddr>,
+    /// Shows only lines that contain the text; may be repeated
+    #[bpaf(argument("TEXT"))]
+    pub(crate) find: Vec<String>,
+    #[bpaf(positional("state|metrics"))]
+    pub(crate) page: RelayPage,
+}
+
 #[derive(Debug, Clone, Bpaf)]
 pub(crate) struct QueryArgs {
     /// Address of a host's listener for callers
@@ -229,6 +244,25 @@
     pub(crate) operator_token_file: Option<PathBuf>,
 }
 
+/// Page of a relay.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum RelayPage {
+    State,
+    Metrics,
+}
+
+impl FromStr for RelayPage {
+    type Err = &'static str;
+
+    fn from_str(s: &str) -> Result<Self, &'static str> {
+        match s {
+            "state" => Ok(Self::State),
+            "metrics" => Ok(Self::Metrics),
+            _ => Err("expected state or metrics"),
+        }
+    }
+}
+
 /// Mark on an availability zone.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ZoneMark(pub(crate) ServiceState);
--- a/crates/cornelwinch_cli/src/lib.rs
+++ b/crates/cornelwinch_cli/src/lib.rs
@@ -12,6 +12,7 @@
 mod get;
 mod mark;
 mod query;
+mod relay;
 mod status;
 mod table;
 mod wait;
@@ -54,6 +55,7 @@
         Command::Zone(args) => mark::run_zone(&args, out),
         Command::Host(args) => mark::run_host(&args, out),
         Command::Status(args) => status::run(&args, out),
+        Command::Relay(args) => relay::run(&args, out),
         Command::Query(args) => query::run(&args, out),
         Command::Bench(args) => bench::run(&args, out),
     };
--- a/crates/cornelwinch_cli/tests/command_texts.rs
+++ b/crates/cornelwinch_cli/tests/command_texts.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use commands::{file, run, spawn_host};
+use commands::{file, run, spawn_host, spawn_relay};
 use serde_json::json;
 
 /// Guards against an argument error that does not say what is expected, or
@@ -124,3 +124,36 @@
     host  a-1   updated  2
     "#);
 }
+
+/// Guards against a relay that does not answer and is passed over, and against
+/// lines that the search leaves out or adds.
+#[test]
+fn relay_pages() {
+    let (relay, gone) = (spawn_relay(), spawn_relay().addr.to_string());
+    let address = relay.addr.to_string();
+    let (code, out, _) = run(&["relay", "--relay", &address, "state"]);
+    assert_eq!(code, 0);
+    insta::assert_snapshot!(out.replace(&address, "ADDRESS"), @r#"
+    relay=ADDRESS
+      path=/state
+      upstream=i-1 lost=false
+      upstream=i-2 lost=true
+    "#);
+    let find = ["--find", "upstream=", "--find", "lost=true"];
+    let args = [
+        &["relay", "--relay", &gone, "--relay", &address],
+        &find[..],
+        &["metrics"],
+    ]
+    .concat();
+    let (code, out, _) = run(&args);
+    assert_eq!(code, 1);
+    let out = out.replace(&address, "ADDRESS").replace(&gone, "GONE");
+    insta::assert_snapshot!(out, @r#"
+    relay=GONE
+      no answer: io: Connection refused (os error 111)
+    relay=ADDRESS
+      upstream=i-2 lost=true
+    "#);
+    assert_eq!(run(&["relay", "state"]).0, 2);
+}
--- a/crates/cornelwinch_cli/tests/commands/mod.rs
+++ b/crates/cornelwinch_cli/tests/commands/mod.rs
@@ -67,6 +67,28 @@
     }
 }
 
+/// Starts a listener that answers each path with lines that name it.
+pub(crate) fn spawn_relay() -> Host {
+    let server = Arc::new(Server::http("127.0.0.1:0").expect("a free port"));
+    let addr = server.server_addr().to_ip().expect("an IP address");
+    let listener = Arc::clone(&server);
+    let thread = thread::spawn(move || {
+        while let Ok(req) = listener.recv() {
+            let body = format!(
+                "path={}\nupstream=i-1 lost=false\nupstream=i-2 lost=true\n",
+                req.url()
+            );
+            drop(req.respond(Response::from_string(body)));
+        }
+    });
+    Host {
+        addr,
+        revision: Arc::default(),
+        server,
+        thread: Some(thread),
+    }
+}
+
 impl Drop for Host {
     fn drop(&mut self) {
         self.server.unblock();
--- a/crates/cornelwinch_relay/src/core.rs
+++ b/crates/cornelwinch_relay/src/core.rs
@@ -15,6 +15,7 @@
 use crate::condition::StoreCondition;
 use crate::dialect::{Item, Kind, Value};
 use crate::feed::{FeedMessage, encode};
+use crate::line_limit::LineLimit;
 use crate::metrics::Metrics;
 use crate::mirror::Mirror;
 use crate::pool::Pool;
@@ -51,6 +52,8 @@
     pub(crate) budget: RetryBudget,
     pub(crate) marks: CrashMarks,
     pub(crate) metrics: Metrics,
+    /// Bound on the log lines about legs that failed.
+    pub(crate) leg_lines: LineLimit,
     /// Largest number of hosts that was registered in this lifetime.
     pub(crate) most_hosts: Option<usize>,
     pub(crate) rng: fastrand::Rng,
@@ -94,6 +97,7 @@
                 budget: RetryBudget::new(Instant::now()),
                 marks: CrashMarks::default(),
                 metrics: Metrics::default(),
+                leg_lines: LineLimit::default(),
                 most_hosts: None,
                 rng: fastrand::Rng::new(),
                 cursors: SortedMap::new(),
@@ -343,11 +347,9 @@
     pub(crate) fn pick(&self, service: &Name, tried: &[UpstreamId]) -> Option<UpstreamView> {
         let settings = self.settings.borrow();
         let core = &mut *self.core.borrow_mut();
-        let hosts = core.host_count() as f64;
-        let bounds = &settings.bounds;
         let table = core.table.as_ref();
         let share = match table.and_then(|table| table.service(service)) {
-            Some(service) => share_of(service, bounds, hosts),
+            Some(service) => core.share_of(service, &settings.bounds),
             None => UpstreamShare {
                 connections: CONNECTIONS_ASSUMED,
                 cold_per_s: None,
@@ -364,25 +366,26 @@
     }
 }
 
-/// This host's part of what one upstream of a service bears.
-fn share_of(service: &Service, bounds: &Bounds, hosts: f64) -> UpstreamShare {
-    let connections = f64::from(service.max_connections) * CONNECTION_MARGIN / hosts;
-    let cold_per_s = service.cold_per_s.map(|rate| {
-        let all = rate * bounds.cold_overshoot + bounds.cold_slack;
-        (all * COLD_MARGIN / hosts) as usize
-    });
-    UpstreamShare {
-        connections: (connections as usize).max(1),
-        cold_per_s,
-    }
-}
-
 impl Core {
     /// Number of hosts that divide what all hosts share.
     pub(crate) fn host_count(&self) -> usize {
         self.most_hosts.unwrap_or(HOSTS_ASSUMED).max(1)
     }
 
+    /// This host's part of what one upstream of a service bears.
+    pub(crate) fn share_of(&self, service: &Service, bounds: &Bounds) -> UpstreamShare {
+        let hosts = self.host_count() as f64;
+        let connections = f64::from(service.max_connections) * CONNECTION_MARGIN / hosts;
+        let cold_per_s = service.cold_per_s.map(|rate| {
+            let all = rate * bounds.cold_overshoot + bounds.cold_slack;
+            (all * COLD_MARGIN / hosts) as usize
+        });
+        UpstreamShare {
+            connections: (connections as usize).max(1),
+            cold_per_s,
+        }
+    }
+
     /// Reports whether upstreams for the route are known and not lost.
     fn can_serve(&self, now: Instant, route: &Route) -> bool {
         let is_served = |service: &Name| self.fleet.is_served(now, service);
--- a/crates/cornelwinch_relay/src/fetch.rs
+++ b/crates/cornelwinch_relay/src/fetch.rs
@@ -159,6 +159,14 @@
         };
         if repeats && !self.shared.spend_repeat(&self.plan.service, repeat) {
             self.refused = "repeat_budget";
+            if repeat == Repeat::Retry && self.may_log() {
+                log::info!(
+                    "event=repeat_denied id={:?} service={} legs={}",
+                    self.out.request_id,
+                    self.plan.service,
+                    self.tried.len()
+                );
+            }
             return false;
         }
         log::debug!(
@@ -187,6 +195,7 @@
         sent: Instant,
         end: LegEnd,
     ) -> Option<UpstreamAnswer> {
+        self.log_failure(upstream, sent, &end);
         let mut core = self.shared.core.borrow_mut();
         match end {
             LegEnd::Answer(answer) => {
@@ -225,6 +234,34 @@
         None
     }
 
+    /// Logs a leg that brought no usable answer, within a bound on such lines.
+    fn log_failure(&self, upstream: &UpstreamView, sent: Instant, end: &LegEnd) {
+        let (result, reason) = match end {
+            LegEnd::Answer(answer) if answer.status.is_server_error() => {
+                ("failure", answer.status.as_str())
+            }
+            LegEnd::Answer(_) => return,
+            LegEnd::NotRun(reason) => ("not_run", *reason),
+            LegEnd::Lost(reason) => ("unknown", *reason),
+            LegEnd::Disconnected => ("unknown", "disconnected"),
+        };
+        if self.may_log() {
+            log::info!(
+                "event=leg_failed id={:?} service={} upstream={} result={result} reason={reason} legs={} ms={}",
+                self.out.request_id,
+                self.plan.service,
+                upstream.name,
+                self.tried.len(),
+                sent.elapsed().as_millis()
+            );
+        }
+    }
+
+    fn may_log(&self) -> bool {
+        let mut core = self.shared.core.borrow_mut();
+        core.leg_lines.take(Instant::now())
+    }
+
     fn finish(self) -> FetchEnd {
         match (self.failure, self.lost) {
             (Some(answer), _) => FetchEnd::Answer(answer),
--- a/crates/cornelwinch_relay/src/lib.rs
+++ b/crates/cornelwinch_relay/src/lib.rs
@@ -17,6 +17,7 @@
 mod handle;
 mod headers;
 mod leg;
+mod line_limit;
 mod logging;
 mod metrics;
 mod mirror;
--- a/crates/cornelwinch_relay/src/operator.rs
+++ b/crates/cornelwinch_relay/src/operator.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use cornelwinch_routing::HostEntry;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -54,25 +55,54 @@
     shared: &Shared,
     request: &Request<Incoming>,
 ) -> Response<Full<Bytes>> {
-    let core = shared.core.borrow();
     let text = if request.uri().path() == "/state" {
-        let version = core.table.as_ref().map_or(0, |table| table.version());
-        let mut text = format!(
-            "version={version} hosts={} source={} knowledge_age={:?} stopping={} active={} evacuated={:?}\n",
-            core.host_count(),
-            shared.is_source(),
-            shared.knowledge_age(Instant::now()),
-            shared.is_stopping(),
-            shared.active.get(),
-            core.fleet.evacuated(),
-        );
-        for line in core.fleet.describe(Instant::now()) {
-            text.push_str(&line);
-            text.push('\n');
-        }
-        text
+        describe(shared)
     } else {
-        core.metrics.to_text()
+        shared.core.borrow().metrics.to_text()
     };
     Response::new(Full::new(Bytes::from(text)))
 }
+
+/// State of the host: one line of key=value pairs for the host, each registered
+/// host, each service and each upstream.
+fn describe(shared: &Shared) -> String {
+    let now = Instant::now();
+    let share = shared.budget_share();
+    let core = shared.core.borrow();
+    let version = core.table.as_ref().map_or(0, |table| table.version());
+    let mut lines = vec![format!(
+        "version={version} hosts={} source={} feeds={} knowledge_age={:?} stopping={} active={} evacuated={:?}",
+        core.host_count(),
+        shared.is_source(),
+        shared.feed.receiver_count(),
+        shared.knowledge_age(now),
+        shared.is_stopping(),
+        shared.active.get(),
+        core.fleet.evacuated(),
+    )];
+    let hosts = shared.hosts.borrow();
+    lines.extend(hosts.iter().map(|host| {
+        let HostEntry { name, zone, peer } = host;
+        format!("host={name} zone={zone} peer={peer}")
+    }));
+    let services = core
+        .table
+        .as_ref()
+        .map_or(&[][..], |table| table.services());
+    lines.extend(services.iter().map(|service| {
+        let upstream = core.share_of(service, &shared.settings.borrow().bounds);
+        let repeats = core.budget.usage_of(now, &share, &service.name);
+        format!(
+            "service={} requests={} repeats={} repeats_allowed={:.1} connections={} cold_per_s={:?}",
+            service.name,
+            repeats.requests,
+            repeats.repeats,
+            repeats.allowed,
+            upstream.connections,
+            upstream.cold_per_s,
+        )
+    }));
+    lines.extend(core.fleet.describe(now));
+    lines.push(String::new());
+    lines.join("\n")
+}
--- a/crates/cornelwinch_routing/src/budget.rs
+++ b/crates/cornelwinch_routing/src/budget.rs
@@ -36,6 +36,17 @@
     pub hosts: usize,
 }
 
+/// What a service has used of a budget in one window.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BudgetUsage {
+    /// Requests of callers.
+    pub requests: u64,
+    /// Repeats that were sent.
+    pub repeats: u64,
+    /// Repeats that may be sent; hedges may use a part of them only.
+    pub allowed: f64,
+}
+
 #[derive(Debug, Default, Clone, Copy)]
 struct Slot {
     index: u64,
@@ -96,28 +107,43 @@
         service: &Name,
         repeat: Repeat,
     ) -> bool {
+        self.usage(now, share, service);
+        let used = self.usage_of(now, share, service);
+        let part = match repeat {
+            Repeat::Retry => 1.0,
+            Repeat::Hedge => HEDGE_SHARE,
+        };
+        let granted = (used.repeats + 1) as f64 <= used.allowed * part;
+        if granted && let Some(slot) = self.usage(now, share, service).slots.back_mut() {
+            slot.repeats += 1;
+        }
+        granted
+    }
+
+    /// What a service has used in the window that ends now.
+    pub fn usage_of(&self, now: Instant, share: &BudgetShare, service: &Name) -> BudgetUsage {
         let settled = now.saturating_duration_since(self.start) >= share.window;
         let slack = if settled {
             share.slack / share.hosts.max(1) as f64
         } else {
             0.0
         };
-        let usage = self.usage(now, share, service);
+        let first = self
+            .index(now, share)
+            .saturating_sub(u64::from(SLOTS_PER_WINDOW));
         let (mut requests, mut repeats) = (0_u64, 0_u64);
-        for slot in &usage.slots {
-            requests += u64::from(slot.requests);
-            repeats += u64::from(slot.repeats);
+        let usage = self.services.get(service);
+        for slot in usage.iter().flat_map(|usage| &usage.slots) {
+            if slot.index >= first {
+                requests += u64::from(slot.requests);
+                repeats += u64::from(slot.repeats);
+            }
         }
-        let part = match repeat {
-            Repeat::Retry => MARGIN,
-            Repeat::Hedge => MARGIN * HEDGE_SHARE,
-        };
-        let allowed = (requests as f64 * share.ratio + slack) * part;
-        let granted = (repeats + 1) as f64 <= allowed;
-        if granted && let Some(slot) = usage.slots.back_mut() {
-            slot.repeats += 1;
+        BudgetUsage {
+            requests,
+            repeats,
+            allowed: (requests as f64 * share.ratio + slack) * MARGIN,
         }
-        granted
     }
 
     /// Drops services that no request used for a window.
--- a/crates/cornelwinch_routing/src/lib.rs
+++ b/crates/cornelwinch_routing/src/lib.rs
@@ -14,7 +14,7 @@
 mod split;
 mod table;
 
-pub use budget::{BudgetShare, Repeat, RetryBudget};
+pub use budget::{BudgetShare, BudgetUsage, Repeat, RetryBudget};
 pub use change::DesiredChange;
 pub use cold::ColdRate;
 pub use crashes::{CrashMarks, CrashReport, RequestPrint};
--- a/crates/cornelwinch_routing/src/table.rs
+++ b/crates/cornelwinch_routing/src/table.rs
@@ -64,6 +64,11 @@
         &self.routes
     }
 
+    /// Services by name.
+    pub fn services(&self) -> &[Service] {
+        &self.services
+    }
+
     /// Looks up a service by name.
     pub fn service(&self, name: &Name) -> Option<&Service> {
         self.services
--- /dev/null
+++ b/tests/relay_log.rs
@@ -0,0 +1,93 @@
+//! The log of a relay process, from the id of a failed request to its cause.
+
+#[path = "../platform/tests/lab/mod.rs"]
+mod lab;
+
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use lab::http::call;
+use lab::leaf::{Act, Leaf};
+use lab::store::Store;
+use lab::{desired, entry, free_addr, get, post, run, until};
+use tokio::net::TcpStream;
+
+struct Relay(Child);
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Guards against failed requests whose id leads nowhere in the log: no line for
+/// the legs, for the upstream or for the reason.
+#[test]
+fn request_id_leads_to_the_cause() {
+    run(async || {
+        let store = Store::start().await;
+        let leaf = Leaf::start(|_| Act::SendAndClose(Vec::new())).await;
+        store.put("config", "main", desired(1, &["a"]));
+        store.put("servers", "i-s", entry("sheets", &leaf, "z1"));
+        let folder = std::env::temp_dir().join(format!("cornelwinch-log-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let (caller, readiness) = (free_addr(), free_addr());
+        let settings = format!(
+            r#"{{"host": "h1", "zone": "z1", "caller": "{caller}", "readiness": "{readiness}",
+            "metrics": "{}", "peer": "{}", "store": "{}",
+            "bounds": {{"stable_ms": 4000, "grace_s": 1, "repeat_ratio": 0.2,
+                "repeat_window_s": 10, "repeat_slack": 56,
+                "cold_overshoot": 1.5, "cold_slack": 5}}}}"#,
+            free_addr(),
+            free_addr(),
+            store.addr
+        );
+        let (file, log) = (folder.join("h1.jsonc"), folder.join("log"));
+        std::fs::write(&file, settings).unwrap();
+        let relay = Command::new(env!("CARGO_BIN_EXE_cornelwinchd"))
+            .arg("--relay")
+            .arg("--settings")
+            .arg(&file)
+            .stdout(Stdio::from(std::fs::File::create(&log).unwrap()))
+            .spawn()
+            .unwrap();
+        let _relay = Relay(relay);
+        until("ready", async || {
+            if TcpStream::connect(readiness).await.is_err() {
+                return false;
+            }
+            let request = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+            call(readiness, request).await.status == 200
+        })
+        .await;
+        let lost = call(caller, post("/order/x", "id-lost", "two").as_bytes()).await;
+        assert_eq!(lost.status, 502);
+        let unserved = call(caller, get("/list/x", "id-unserved").as_bytes()).await;
+        assert_eq!(unserved.status, 503);
+        let unknown = call(caller, get("/nowhere/x", "id-unknown").as_bytes()).await;
+        assert_eq!(unknown.status, 404);
+        // Lines are written a few times a second.
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let text = std::fs::read_to_string(&log).unwrap();
+        let has = |id: &str, words: &[&str]| {
+            let holds_all =
+                |line: &str| line.contains(id) && words.iter().all(|word| line.contains(word));
+            assert!(text.lines().any(holds_all), "{id} {words:?} in {text}");
+        };
+        has(
+            "id-lost",
+            &["event=request", "outcome=unknown", "version=1"],
+        );
+        has(
+            "id-lost",
+            &["event=leg_failed", "upstream=i-s", "reason=disconnected"],
+        );
+        has(
+            "id-unserved",
+            &["outcome=not_run", "reason=shards_unserved"],
+        );
+        has("id-unknown", &["outcome=rejected", "reason=no_route"]);
+        std::fs::remove_dir_all(&folder).unwrap();
+    });
+}
