Divide the rate of a cold upstream in whole permits

Cause: each host had the whole part of an equal share, which is 0 where hosts outnumber the bound: 30 hosts left a cold upstream that bears 8 requests a second without any. Ruled out: a turn by the second (needs clocks that agree); one owner for each upstream (a hop, and a takeover when it fails). Change: what is left of the division goes to hosts by a rendezvous order of each upstream, those of its zone first; no message, and the sum keeps the bound.

--- a/crates/cornelwinch_relay/src/apply.rs
+++ b/crates/cornelwinch_relay/src/apply.rs
@@ -1,7 +1,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use cornelwinch_routing::{HostEntry, RouteTable, UpstreamEntry};
+use cornelwinch_routing::{HostEntry, HostPermits, RouteTable, UpstreamEntry};
 use cornelwinch_types::Name;
 
 use crate::core::Shared;
@@ -122,6 +122,10 @@
     log::info!("event=hosts_changed count={}", hosts.len());
     let mut core = shared.core.borrow_mut();
     core.most_hosts = core.most_hosts.max(Some(hosts.len()));
+    let count = core.host_count();
+    let me = shared.settings.borrow().host.clone();
+    core.fleet
+        .set_hosts(HostPermits::new(me, hosts.clone(), count));
     drop(core);
     *shared.hosts.borrow_mut() = hosts;
 }
--- a/crates/cornelwinch_relay/src/core.rs
+++ b/crates/cornelwinch_relay/src/core.rs
@@ -4,9 +4,9 @@
 
 use bytes::Bytes;
 use cornelwinch_routing::{
-    BudgetShare, CrashMarks, CrashReport, DesiredChange, Fleet, GatherPlan, HostEntry, Repeat,
-    RetryBudget, Route, RouteTable, Service, SplitCursor, Target, UpstreamId, UpstreamShare,
-    UpstreamView,
+    BudgetShare, CrashMarks, CrashReport, DesiredChange, Fleet, GatherPlan, HostEntry, HostPermits,
+    Repeat, RetryBudget, Route, RouteTable, Service, SplitCursor, Target, UpstreamId,
+    UpstreamShare, UpstreamView,
 };
 use cornelwinch_types::{Name, SortedMap};
 use tokio::sync::{broadcast, watch};
@@ -90,10 +90,13 @@
 
 impl Shared {
     pub(crate) fn new(settings: RelaySettings, dialect: Dialect) -> Self {
+        let mut fleet = Fleet::new();
+        let me = settings.host.clone();
+        fleet.set_hosts(HostPermits::new(me, Vec::new(), HOSTS_ASSUMED));
         Self {
             core: RefCell::new(Core {
                 table: None,
-                fleet: Fleet::new(),
+                fleet,
                 budget: RetryBudget::new(Instant::now()),
                 marks: CrashMarks::default(),
                 metrics: Metrics::default(),
@@ -372,13 +375,14 @@
         self.most_hosts.unwrap_or(HOSTS_ASSUMED).max(1)
     }
 
-    /// This host's part of what one upstream of a service bears.
+    /// What one upstream of a service bears from this host, and while it is cold
+    /// from all hosts.
     pub(crate) fn share_of(&self, service: &Service, bounds: &Bounds) -> UpstreamShare {
         let hosts = self.host_count() as f64;
         let connections = f64::from(service.max_connections) * CONNECTION_MARGIN / hosts;
         let cold_per_s = service.cold_per_s.map(|rate| {
             let all = rate * bounds.cold_overshoot + bounds.cold_slack;
-            (all * COLD_MARGIN / hosts) as usize
+            (all * COLD_MARGIN) as usize
         });
         UpstreamShare {
             connections: (connections as usize).max(1),
--- a/crates/cornelwinch_routing/src/fleet.rs
+++ b/crates/cornelwinch_routing/src/fleet.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::health::ratio;
-use crate::{ColdRate, Health, LegSign};
+use crate::{ColdRate, Health, HostPermits, LegSign};
 
 /// Added to the score of an upstream in another zone, in usual leg times: the
 /// longer way and the price of bytes between zones.
@@ -66,12 +66,13 @@
     pub addr: SocketAddr,
 }
 
-/// This host's part of what one upstream bears.
+/// What one upstream of a service bears.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct UpstreamShare {
-    /// Connections at once.
+    /// Connections of this host at once.
     pub connections: usize,
-    /// Requests in any second while it is cold; `None` without such a bound.
+    /// Requests of all hosts together in any second while it is cold; `None`
+    /// without such a bound.
     pub cold_per_s: Option<usize>,
 }
 
@@ -81,6 +82,8 @@
     health: Health,
     cold_until: Option<Instant>,
     cold_rate: ColdRate,
+    /// This host's part of a bound that all hosts share, with the bound.
+    permits: Option<(usize, usize)>,
     /// End of the use of an entry that a list after an outage lacks.
     missing_until: Option<Instant>,
     /// Another upstream has the address. What is sent there counts as a repeat
@@ -97,6 +100,8 @@
     names: SortedMap<Name, UpstreamId>,
     services: SortedMap<Name, Vec<UpstreamId>>,
     evacuated: Vec<Name>,
+    /// `None` where this host is alone.
+    hosts: Option<HostPermits>,
 }
 
 impl Fleet {
@@ -121,6 +126,14 @@
         self.evacuated = zones;
     }
 
+    /// Sets the hosts that divide what upstreams bear.
+    pub fn set_hosts(&mut self, hosts: HostPermits) {
+        self.hosts = Some(hosts);
+        for (_, upstream) in self.upstreams.iter_mut() {
+            upstream.permits = None;
+        }
+    }
+
     /// Zones whose upstreams get nothing, in order.
     pub fn evacuated(&self) -> &[Name] {
         &self.evacuated
@@ -156,6 +169,7 @@
                 health: Health::new(now),
                 cold_until,
                 cold_rate: ColdRate::default(),
+                permits: None,
                 missing_until: None,
                 is_displaced: false,
             },
@@ -255,11 +269,13 @@
             if upstream.health.in_flight() >= share.connections {
                 continue;
             }
-            if let Some(limit) = share.cold_per_s
+            if let Some(bound) = share.cold_per_s
                 && upstream.is_cold(now)
-                && !upstream.cold_rate.has_room(now, limit)
             {
-                continue;
+                let limit = upstream.permits(self.hosts.as_ref(), bound);
+                if !upstream.cold_rate.has_room(now, limit) {
+                    continue;
+                }
             }
             let mut score = upstream.health.score(now) * (1.0 + SCORE_JITTER * rng.f64());
             if upstream.entry.zone != *zone {
@@ -272,9 +288,10 @@
         }
         let id = best?.2;
         let upstream = self.upstreams.get_mut(&id)?;
-        if let Some(limit) = share.cold_per_s
+        if let Some(bound) = share.cold_per_s
             && upstream.is_cold(now)
         {
+            let limit = upstream.permits(self.hosts.as_ref(), bound);
             upstream.cold_rate.take(now, limit);
         }
         Some(UpstreamView {
@@ -401,6 +418,21 @@
             && evacuated.binary_search(&self.entry.zone).is_err()
     }
 
+    /// This host's part of a bound.
+    fn permits(&mut self, hosts: Option<&HostPermits>, bound: usize) -> usize {
+        let Some(hosts) = hosts else {
+            return bound;
+        };
+        match self.permits {
+            Some((known, permits)) if known == bound => permits,
+            _ => {
+                let permits = hosts.of(bound, &self.entry.name, &self.entry.zone);
+                self.permits = Some((bound, permits));
+                permits
+            }
+        }
+    }
+
     fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.is_some_and(|until| now < until)
     }
