Feed usual sources that the store does not answer

Cause: a host that is first in the common order follows the store itself and had no other source. Where only its connection to the store was silent or refused it stayed at the version that it had, and so did what it knows of upstreams. Ruled out: leaving the order while it is cut off (others could not see it). Change: such a host is fed by another one that follows the store, and asks the store again after 5 s. A search starts as soon as the store fails.

--- a/crates/cornelwinch_daemon/src/upstream.rs
+++ b/crates/cornelwinch_daemon/src/upstream.rs
@@ -68,19 +68,21 @@
 
 /// What a client asks of the thread.
 enum Work {
-    Open(Opening),
+    Open(Arc<Target>),
     Send { client: u64, leg: LegRequest },
     Cancel { client: u64, attempt: AttemptId },
     Health { client: u64 },
     Close { client: u64 },
 }
 
-struct Opening {
+/// What a client and the thread share of one upstream.
+struct Target {
     client: u64,
     name: Name,
     addr: SocketAddr,
     slots: usize,
-    open: Arc<AtomicUsize>,
+    /// Legs that have not ended.
+    open: AtomicUsize,
     handler: Handler,
 }
 
@@ -132,20 +134,14 @@
 /// one for cancellations and probes.
 pub struct UpstreamClient {
     thread: LegThread,
-    client: u64,
-    name: Name,
-    addr: SocketAddr,
-    slots: usize,
-    /// Legs that have not ended.
-    open: Arc<AtomicUsize>,
-    handler: Handler,
+    target: Arc<Target>,
 }
 
 impl fmt::Debug for UpstreamClient {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("UpstreamClient")
-            .field("name", &self.name)
-            .field("addr", &self.addr)
+            .field("name", &self.target.name)
+            .field("addr", &self.target.addr)
             .finish_non_exhaustive()
     }
 }
@@ -160,41 +156,37 @@
         connections: u32,
         handler: impl Fn(UpstreamEvent) + Send + Sync + 'static,
     ) -> Self {
-        let client = Self {
-            thread: thread.clone(),
+        let target = Arc::new(Target {
             client: thread.clients.fetch_add(1, Ordering::Relaxed) as u64,
             name,
             addr,
             slots: slots.min(connections).max(1) as usize,
-            open: Arc::default(),
+            open: AtomicUsize::new(0),
             handler: Arc::new(handler),
-        };
-        client.thread.ask(Work::Open(Opening {
-            client: client.client,
-            name: client.name.clone(),
-            addr,
-            slots: client.slots,
-            open: client.open.clone(),
-            handler: client.handler.clone(),
-        }));
-        client
+        });
+        thread.ask(Work::Open(target.clone()));
+        Self {
+            thread: thread.clone(),
+            target,
+        }
     }
 
     /// Address of the upstream.
     pub fn addr(&self) -> SocketAddr {
-        self.addr
+        self.target.addr
     }
 
     /// Sends a leg.
     pub fn send(&self, leg: LegRequest) {
-        if self.open.fetch_add(1, Ordering::AcqRel) < self.slots * OPEN_PER_SLOT {
-            let client = self.client;
+        let target = &self.target;
+        if target.open.fetch_add(1, Ordering::AcqRel) < target.slots * OPEN_PER_SLOT {
+            let client = target.client;
             self.thread.ask(Work::Send { client, leg });
             return;
         }
-        self.open.fetch_sub(1, Ordering::AcqRel);
-        (self.handler)(UpstreamEvent::Finished {
-            upstream: self.name.clone(),
+        target.open.fetch_sub(1, Ordering::AcqRel);
+        (target.handler)(UpstreamEvent::Finished {
+            upstream: target.name.clone(),
             attempt: leg.attempt,
             result: LegResult::Refused(Refusal::Overloaded),
             signs: UpstreamSigns::default(),
@@ -203,36 +195,33 @@
 
     /// Asks the upstream to stop an attempt.
     pub fn cancel(&self, attempt: AttemptId) {
-        let client = self.client;
+        let client = self.target.client;
         self.thread.ask(Work::Cancel { client, attempt });
     }
 
     /// Asks the upstream whether it is still leaving.
     pub fn probe_health(&self) {
-        let client = self.client;
+        let client = self.target.client;
         self.thread.ask(Work::Health { client });
     }
 }
 
 impl Drop for UpstreamClient {
     fn drop(&mut self) {
-        let client = self.client;
+        let client = self.target.client;
         self.thread.ask(Work::Close { client });
     }
 }
 
 /// Connections to one upstream.
 struct Upstream {
-    name: Name,
-    addr: SocketAddr,
+    target: Arc<Target>,
     host: HeaderValue,
     slots: Semaphore,
     idle: RefCell<Vec<HttpSender>>,
     /// Cancellations use a connection of their own; otherwise a busy upstream
     /// would receive them after the answers they are meant to stop.
     control: Mutex<Option<HttpSender>>,
-    open: Arc<AtomicUsize>,
-    handler: Handler,
 }
 
 async fn serve(mut work: mpsc::UnboundedReceiver<(Instant, Work)>) {
@@ -244,8 +233,8 @@
             Some(upstreams[at].1.clone())
         };
         match work {
-            Work::Open(opening) => {
-                upstreams.push((opening.client, Rc::new(Upstream::new(opening))));
+            Work::Open(target) => {
+                upstreams.push((target.client, Rc::new(Upstream::new(target))));
                 upstreams.sort_by_key(|row| row.0);
             }
             Work::Send { client, leg } => {
@@ -270,27 +259,21 @@
 }
 
 impl Upstream {
-    fn new(opening: Opening) -> Self {
-        let Opening {
-            client: _,
-            name,
-            addr,
-            slots,
-            open,
-            handler,
-        } = opening;
+    fn new(target: Arc<Target>) -> Self {
+        let addr = target.addr.to_string();
         Self {
-            name,
-            addr,
-            host: HeaderValue::from_str(&addr.to_string()).expect("addresses are valid"),
-            slots: Semaphore::new(slots),
+            host: HeaderValue::from_str(&addr).expect("addresses are valid"),
+            slots: Semaphore::new(target.slots),
+            target,
             idle: RefCell::default(),
             control: Mutex::new(None),
-            open,
-            handler,
         }
     }
 
+    async fn connect(&self) -> std::io::Result<HttpSender> {
+        connect(&self.target.name, self.target.addr, CONNECT_TIMEOUT).await
+    }
+
     async fn carry(self: Rc<Self>, leg: LegRequest, asked: Instant) {
         let deadline = asked + leg.budget;
         let slot = self.slots.acquire().await.expect("it is never closed");
@@ -311,9 +294,9 @@
         };
         drop(slot);
         signs.latency = start.elapsed();
-        self.open.fetch_sub(1, Ordering::AcqRel);
-        (self.handler)(UpstreamEvent::Finished {
-            upstream: self.name.clone(),
+        self.target.open.fetch_sub(1, Ordering::AcqRel);
+        (self.target.handler)(UpstreamEvent::Finished {
+            upstream: self.target.name.clone(),
             attempt: leg.attempt,
             result,
             signs,
@@ -335,10 +318,13 @@
             let is_new = idle.is_none();
             let mut sender = match idle {
                 Some(sender) => sender,
-                None => match connect(&self.name, self.addr, CONNECT_TIMEOUT).await {
+                None => match self.connect().await {
                     Ok(sender) => sender,
                     Err(error) => {
-                        log::debug!("event=connect_failed peer={} reason=\"{error}\"", self.name);
+                        log::debug!(
+                            "event=connect_failed peer={} reason=\"{error}\"",
+                            self.target.name
+                        );
                         return LegResult::Refused(Refusal::Unreachable);
                     }
                 },
@@ -382,8 +368,8 @@
     async fn probe_health(&self) {
         let answer = self.control_call(Method::GET, "/v1/health").await;
         if let Some(leaving) = answer.and_then(|text| read_leaving(&text)) {
-            (self.handler)(UpstreamEvent::Health {
-                upstream: self.name.clone(),
+            (self.target.handler)(UpstreamEvent::Health {
+                upstream: self.target.name.clone(),
                 leaving,
             });
         }
@@ -396,9 +382,7 @@
         let exchange = async {
             let mut sender = match idle {
                 Some(sender) if !sender.is_closed() => sender,
-                _ => connect(&self.name, self.addr, CONNECT_TIMEOUT)
-                    .await
-                    .map_err(|error| error.to_string())?,
+                _ => self.connect().await.map_err(|error| error.to_string())?,
             };
             sender.ready().await.map_err(|error| error.to_string())?;
             let response = sender.send_request(request);
@@ -417,7 +401,7 @@
         };
         log::debug!(
             "event=control_failed peer={} path={path} reason=\"{error}\"",
-            self.name
+            self.target.name
         );
         None
     }
--- a/crates/cornelwinch_relay/src/feed.rs
+++ b/crates/cornelwinch_relay/src/feed.rs
@@ -80,34 +80,14 @@
         match self {
             Self::Hello { is_source, .. } => write!(f, "message=hello source={is_source}"),
             Self::Known { revisions } => write!(f, "message=known revisions={revisions:?}"),
-            Self::List {
-                kind,
-                revision,
-                items,
-            } => {
-                let count = items.len();
-                write!(
-                    f,
-                    "message=list kind={kind:?} revision={revision} items={count}"
-                )
+            Self::List { kind, items, .. } => {
+                write!(f, "message=list kind={kind:?} items={}", items.len())
             }
-            Self::Changes {
-                kind,
-                revision,
-                items,
-                ..
-            } => {
-                let count = items.len();
-                write!(
-                    f,
-                    "message=changes kind={kind:?} revision={revision} items={count}"
-                )
+            Self::Changes { kind, items, .. } => {
+                write!(f, "message=changes kind={kind:?} items={}", items.len())
             }
-            Self::Version {
-                revision, change, ..
-            } => {
-                let version = change.version();
-                write!(f, "message=version revision={revision} version={version}")
+            Self::Version { change, .. } => {
+                write!(f, "message=version version={}", change.version())
             }
             Self::Crashes { reports } => write!(f, "message=crashes items={}", reports.len()),
             Self::Beat { age_ms, .. } => write!(f, "message=beat age_ms={age_ms}"),
--- a/crates/cornelwinch_relay/src/sync.rs
+++ b/crates/cornelwinch_relay/src/sync.rs
@@ -1,9 +1,9 @@
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cornelwinch_routing::{HostEntry, source_count, source_order};
 use hyper::StatusCode;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::core::Shared;
 use crate::follow::{Following, LIST_WAIT, list_hosts};
@@ -19,6 +19,13 @@
 /// Hosts beyond the usual sources that are asked in one search.
 const SEARCH_FURTHER: usize = 3;
 
+/// Time for which a usual source that the store does not answer is fed by another
+/// host before it asks the store again.
+const SOURCE_RETURN: Duration = Duration::from_secs(5);
+
+/// Time between two looks whether the store still answers.
+const CONDITION_POLL: Duration = Duration::from_millis(200);
+
 /// Keeps this host up to date: from a source if there is one, from the store
 /// otherwise or where this host is itself a source.
 pub(crate) async fn keep_in_sync(shared: Rc<Shared>) {
@@ -35,7 +42,8 @@
     list_hosts(&shared, &mut client, false).await;
     drop(client);
     loop {
-        let sources = candidates(&shared.hosts.borrow(), &me);
+        let is_cut_off = following.is_some() && shared.condition.is_failing();
+        let (sources, is_usual) = candidates(&shared.hosts.borrow(), &me, is_cut_off);
         for source in sources {
             let mut subscription = match Subscription::open(&shared, source.peer).await {
                 Ok(subscription) => subscription,
@@ -51,14 +59,35 @@
             log::info!("event=source_found peer={}", source.name);
             following = None;
             shared.set_source(false);
-            let end = subscription.run(&shared).await;
+            let run = subscription.run(&shared);
+            if is_usual {
+                let end = timeout(SOURCE_RETURN, run).await;
+                log::info!("event=source_left peer={} end={end:?}", source.name);
+                break;
+            }
+            let end = run.await;
             log::info!("event=source_lost peer={} reason={end:?}", source.name);
         }
         if following.is_none() {
             following = Some(follow_store(&shared));
+            // The store's condition is known after its first answer.
+            sleep(LIST_WAIT).await;
+        }
+        wait_for_search(&shared).await;
+    }
+}
+
+/// Waits for the next search, which is sooner where the store does not answer.
+async fn wait_for_search(shared: &Shared) {
+    let jitter = shared.core.borrow_mut().rng.f64() * 0.5 + 0.75;
+    let next = Instant::now() + SEARCH_EVERY.mul_f64(jitter);
+    while Instant::now() < next {
+        sleep(CONDITION_POLL).await;
+        if shared.condition.is_failing() {
+            // A single call may fail.
+            sleep(CONDITION_POLL).await;
+            return;
         }
-        let jitter = shared.core.borrow_mut().rng.f64() * 0.5 + 0.75;
-        sleep(SEARCH_EVERY.mul_f64(jitter)).await;
     }
 }
 
@@ -88,17 +117,24 @@
     }
 }
 
-/// Hosts that this one may be fed by, the preferred first; none if it is to
-/// follow the store itself. Only hosts before this one in the common order count,
-/// so that the first one that lives follows the store.
-fn candidates(hosts: &[HostEntry], me: &HostEntry) -> Vec<HostEntry> {
-    let order = source_order(hosts);
+/// Hosts that this one may be fed by, the preferred first, and whether it is a
+/// usual source, which follows the store itself unless it is cut off from it. Of
+/// the others only hosts before this one in the common order count, so that the
+/// first one that lives follows the store.
+fn candidates(hosts: &[HostEntry], me: &HostEntry, is_cut_off: bool) -> (Vec<HostEntry>, bool) {
+    let mut order = source_order(hosts);
     let sources = source_count(hosts.len());
     let Some(rank) = order.iter().position(|host| host.name == me.name) else {
-        return order;
+        return (order, false);
     };
     if rank < sources {
-        return Vec::new();
+        order.remove(rank);
+        order.truncate(if is_cut_off {
+            sources + SEARCH_FURTHER
+        } else {
+            0
+        });
+        return (order, true);
     }
     let mut before: Vec<HostEntry> = order[..rank.min(sources + SEARCH_FURTHER)].to_vec();
     let further = before.split_off(sources);
@@ -108,5 +144,5 @@
     before.rotate_left(start);
     before.sort_by_key(|host| host.zone != me.zone);
     before.extend(further);
-    before
+    (before, false)
 }
