--- a/crates/cornelwinch_relay/src/sync.rs
+++ b/crates/cornelwinch_relay/src/sync.rs
@@ -73,17 +73,19 @@
             // The store's condition is known after its first answer.
             sleep(LIST_WAIT).await;
         }
-        wait_for_search(&shared).await;
+        wait_for_search(&shared, is_usual).await;
     }
 }
 
-/// Waits for the next search, which is sooner where the store does not answer.
-async fn wait_for_search(shared: &Shared) {
+/// Waits for the next search, which is sooner for a usual source that the store
+/// does not answer. All other hosts search at the same pace in an outage, since
+/// they ask the same few.
+async fn wait_for_search(shared: &Shared, is_usual: bool) {
     let jitter = shared.core.borrow_mut().rng.f64() * 0.5 + 0.75;
     let next = Instant::now() + SEARCH_EVERY.mul_f64(jitter);
     while Instant::now() < next {
         sleep(CONDITION_POLL).await;
-        if shared.condition.is_failing() {
+        if is_usual && shared.condition.is_failing() {
             // A single call may fail.
             sleep(CONDITION_POLL).await;
             return;
