Limit gathered requests while upstreams are short

Cause: a gathered request needs most of its shards. Ruled out: a fixed limit (leaves come and go); refusals alone as the sign (leaves that refuse a part of their requests would be taken for overload): legs have to take twice their calm time as well, which queues do and such leaves do not. Change: additive increase, multiplicative decrease of the gathered requests in progress on a host, without a limit in calm times; what is over it is refused as not run at once.

--- a/crates/cornelwinch_relay/src/scatter.rs
+++ b/crates/cornelwinch_relay/src/scatter.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use cornelwinch_routing::{GatherPlan, PartMerge, RequestPrint, Route};
+use cornelwinch_routing::{GatherEnd, GatherPlan, PartMerge, RequestPrint, Route};
 use futures_util::StreamExt;
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::FuturesUnordered;
@@ -31,6 +31,8 @@
     least: usize,
     /// Shards that can no longer answer.
     failed: usize,
+    /// Shards whose upstreams refused the last leg.
+    refused: usize,
     /// Some upstream may have run the request.
     ran: bool,
     reason: &'static str,
@@ -52,6 +54,13 @@
     if !shared.core.borrow().can_gather(arrived, &plan) {
         return Reply::not_run("shards_unserved");
     }
+    if !shared.core.borrow_mut().gathers.start(arrived) {
+        return Reply::not_run("overloaded");
+    }
+    let mut started = Started {
+        shared: shared.clone(),
+        end: GatherEnd::Other,
+    };
     let hedge_after = hedge_after(&shared, &route, HEDGE_SHARE);
     let mut fetches: FuturesUnordered<LocalBoxFuture<'static, FetchEnd>> = plan
         .shards
@@ -84,6 +93,7 @@
             }
         }
     }
+    started.end = gathering.end(shared.core.borrow().is_congested(&route));
     // Legs in flight are given up and may have run.
     gathering.ran |= !fetches.is_empty();
     if gathering.is_success() {
@@ -92,6 +102,19 @@
     gathering.finish(&shared, &out, false)
 }
 
+/// Ends a gathered request for the limit on them, also where its future is dropped.
+struct Started {
+    shared: Rc<Shared>,
+    end: GatherEnd,
+}
+
+impl Drop for Started {
+    fn drop(&mut self) {
+        let mut core = self.shared.core.borrow_mut();
+        core.gathers.end(Instant::now(), self.end);
+    }
+}
+
 impl Gathering {
     fn new(plan: &GatherPlan) -> Self {
         Self {
@@ -100,6 +123,7 @@
             total: plan.shards.len(),
             least: plan.least_parts(),
             failed: 0,
+            refused: 0,
             ran: false,
             reason: "-",
         }
@@ -116,7 +140,10 @@
                 self.merge.add(&answer.body);
             }
             FetchEnd::Answer(_) => self.fail("upstream_failure", true),
-            FetchEnd::NotRun(reason) => self.fail(reason, false),
+            FetchEnd::NotRun(reason) => {
+                self.refused += usize::from(matches!(reason, "refused" | "repeat_budget"));
+                self.fail(reason, false);
+            }
             FetchEnd::Lost(reason) => self.fail(reason, true),
         }
     }
@@ -127,6 +154,17 @@
         self.reason = reason;
     }
 
+    /// What the end tells about the upstreams.
+    fn end(&self, is_congested: bool) -> GatherEnd {
+        if self.is_success() {
+            GatherEnd::Served
+        } else if is_congested && self.refused > 0 {
+            GatherEnd::Short
+        } else {
+            GatherEnd::Other
+        }
+    }
+
     fn is_success(&self) -> bool {
         self.stamps.len() >= self.least
     }
--- a/crates/cornelwinch_routing/src/lib.rs
+++ b/crates/cornelwinch_routing/src/lib.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod health;
 mod merge;
+mod overload;
 mod permits;
 mod sources;
 mod split;
@@ -23,6 +24,7 @@
 pub use fleet::{Fleet, UpstreamEntry, UpstreamId, UpstreamShare, UpstreamState, UpstreamView};
 pub use health::{Health, LegSign};
 pub use merge::{PartMerge, RECORD_BYTES};
+pub use overload::{GatherEnd, GatherLimit};
 pub use permits::HostPermits;
 pub use sources::{HostEntry, source_count, source_order};
 pub use split::SplitCursor;
--- /dev/null
+++ b/crates/cornelwinch_routing/src/overload.rs
@@ -0,0 +1,75 @@
+use std::time::{Duration, Instant};
+
+/// Factor on the limit when upstreams are short.
+const DECREASE: f64 = 0.8;
+
+/// Time between two decreases; the answers of the last one have to be seen.
+const DECREASE_EVERY: Duration = Duration::from_millis(60);
+
+/// Growth of the limit by each limit's worth of answers.
+const INCREASE: f64 = 3.0;
+
+/// Smallest limit, so that the upstreams are still tried.
+const LEAST: f64 = 3.0;
+
+/// Time without a shortage after which there is no limit.
+const CALM: Duration = Duration::from_millis(1_200);
+
+/// How a gathered request ended, as far as it tells about the upstreams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GatherEnd {
+    /// It was answered.
+    Served,
+    /// Upstreams refused too many legs while those that ran took long.
+    Short,
+    /// Neither.
+    Other,
+}
+
+/// Bounds the gathered requests in progress on this host while upstreams cannot
+/// run all of them. Each such request needs most of its shards, so a little too
+/// many of them leave none complete.
+#[derive(Debug, Default)]
+pub struct GatherLimit {
+    in_progress: usize,
+    limit: Option<f64>,
+    decreased: Option<Instant>,
+}
+
+impl GatherLimit {
+    /// Counts a request and returns true if it may start.
+    pub fn start(&mut self, now: Instant) -> bool {
+        let is_over = |at: Instant| now.saturating_duration_since(at) >= CALM;
+        if self.decreased.is_some_and(is_over) {
+            self.limit = None;
+            self.decreased = None;
+        }
+        let may_start = self
+            .limit
+            .is_none_or(|limit| (self.in_progress as f64) < limit);
+        self.in_progress += usize::from(may_start);
+        may_start
+    }
+
+    /// Records the end of a request that was started.
+    pub fn end(&mut self, now: Instant, end: GatherEnd) {
+        let in_progress = self.in_progress as f64;
+        self.in_progress = self.in_progress.saturating_sub(1);
+        match end {
+            GatherEnd::Served => {
+                if let Some(limit) = &mut self.limit {
+                    *limit += INCREASE / limit.max(1.0);
+                }
+            }
+            GatherEnd::Short => {
+                let is_recent = |at: Instant| now.saturating_duration_since(at) < DECREASE_EVERY;
+                if !self.decreased.is_some_and(is_recent) {
+                    let limit = self.limit.unwrap_or(in_progress).min(in_progress);
+                    self.limit = Some((limit * DECREASE).max(LEAST));
+                    self.decreased = Some(now);
+                }
+            }
+            GatherEnd::Other => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/cornelwinch_routing/tests/gather_limit.rs
@@ -0,0 +1,65 @@
+//! Bound on gathered requests while upstreams are short.
+
+use std::time::{Duration, Instant};
+
+use cornelwinch_routing::{GatherEnd, GatherLimit};
+
+/// Starts requests until one is refused, at most 100, and returns their number.
+fn fill(limit: &mut GatherLimit, now: Instant) -> usize {
+    (0..100).take_while(|_| limit.start(now)).count()
+}
+
+fn end_all(limit: &mut GatherLimit, now: Instant, count: usize, end: GatherEnd) {
+    for _ in 0..count {
+        limit.end(now, end);
+    }
+}
+
+/// Guards against a limit in calm times, and against requests that fail for
+/// another reason and are taken for a shortage.
+#[test]
+fn there_is_no_limit_without_a_shortage() {
+    let now = Instant::now();
+    let mut limit = GatherLimit::default();
+    for end in [GatherEnd::Served, GatherEnd::Other] {
+        let started = fill(&mut limit, now);
+        assert_eq!(started, 100);
+        end_all(&mut limit, now, started, end);
+    }
+    assert_eq!(fill(&mut limit, now), 100);
+}
+
+/// Guards against a limit that does not fall while requests go on failing, that
+/// falls more than once for the failures of one moment, or that falls to nothing.
+#[test]
+fn shortage_lowers_the_limit_step_by_step() {
+    let mut now = Instant::now();
+    let mut limit = GatherLimit::default();
+    let mut last = fill(&mut limit, now);
+    end_all(&mut limit, now, last, GatherEnd::Short);
+    for _ in 0..30 {
+        let started = fill(&mut limit, now);
+        assert!(started >= 1 && started <= last, "{started} after {last}");
+        assert!(started >= last / 2, "{started} after {last}");
+        now += Duration::from_millis(100);
+        end_all(&mut limit, now, started, GatherEnd::Short);
+        last = started;
+    }
+    assert!((1..10).contains(&last), "{last}");
+}
+
+/// Guards against a limit that stays after the shortage.
+#[test]
+fn limit_grows_and_ends() {
+    let mut now = Instant::now();
+    let mut limit = GatherLimit::default();
+    let started = fill(&mut limit, now);
+    end_all(&mut limit, now, started, GatherEnd::Short);
+    let low = fill(&mut limit, now);
+    end_all(&mut limit, now, low, GatherEnd::Served);
+    let high = fill(&mut limit, now);
+    assert!(high > low, "{high} after {low}");
+    end_all(&mut limit, now, high, GatherEnd::Served);
+    now += Duration::from_secs(3);
+    assert_eq!(fill(&mut limit, now), 100);
+}
