--- a/crates/cornelwinch_routing/src/overload.rs
+++ b/crates/cornelwinch_routing/src/overload.rs
@@ -1,18 +1,21 @@
 use std::time::{Duration, Instant};
 
-/// Factor on the limit when upstreams are short.
+/// Factor on the limit when upstreams are short; a usual step of multiplicative
+/// decrease.
 const DECREASE: f64 = 0.8;
 
-/// Time between two decreases; the answers of the last one have to be seen.
+/// Time between two decreases, a few leg times of 15 ms: the effect of the last one
+/// has to be seen first.
 const DECREASE_EVERY: Duration = Duration::from_millis(60);
 
-/// Growth of the limit by each limit's worth of answers.
+/// Growth of the limit, in requests, by each limit's worth of answers.
 const INCREASE: f64 = 3.0;
 
-/// Smallest limit, so that the upstreams are still tried.
+/// Smallest limit in requests, so that the upstreams are still tried.
 const LEAST: f64 = 3.0;
 
-/// Time without a shortage after which there is no limit.
+/// Time without a shortage after which there is no limit: longer than the time
+/// budget of a gathered request with its repeat by the caller.
 const CALM: Duration = Duration::from_millis(1_200);
 
 /// How a gathered request ended, as far as it tells about the upstreams.
