--- a/crates/cornelwinch_routing/tests/overload_plant.rs
+++ b/crates/cornelwinch_routing/tests/overload_plant.rs
@@ -51,12 +51,12 @@
         for leaf in &mut leaves {
             leaf.retain(|end| *end > ms);
         }
-        for caller in 0..case.callers {
-            if next_call[caller].is_none_or(|at| at > ms) {
+        for (caller, next) in next_call.iter_mut().enumerate() {
+            if next.is_none_or(|at| at > ms) {
                 continue;
             }
             if limit.start(now) {
-                next_call[caller] = None;
+                *next = None;
                 let arrivals = std::array::from_fn(|_| ms + draw(case.spread_ms));
                 open.push(Request {
                     caller,
@@ -65,7 +65,7 @@
                     refused: None,
                 });
             } else {
-                next_call[caller] = Some(ms + PAUSE_MS);
+                *next = Some(ms + PAUSE_MS);
             }
         }
         for request in &mut open {
