Take refusals alone as the sign of overload

Cause: the limit on gathered requests asked for legs of twice their calm time as well. Leaves that refuse without a queue stay as fast as ever, so there was no limit: one of six leaves refuses, and 800 of 800 calls still sent their other legs in vain. Change: the look at leg times goes, with its table and two constants.

--- a/crates/cornelwinch_relay/src/core.rs
+++ b/crates/cornelwinch_relay/src/core.rs
@@ -41,13 +41,6 @@
 /// Change of the usual leg time by each sample above or below it.
 const TYPICAL_STEP: f64 = 0.03;
 
-/// Growth of the calm leg time a second, so that leaves that become slower for
-/// good are not taken for congested.
-const CALM_GROWTH_PER_S: f64 = 0.05;
-
-/// Multiple of the calm leg time from which legs wait in queues.
-const CONGESTED: f64 = 2.0;
-
 /// Share of a route's goal that is assumed as usual leg time at first.
 const TYPICAL_SHARE: f64 = 0.15;
 
@@ -69,8 +62,6 @@
     pub(crate) gathers: GatherLimit,
     /// Median time of a leg, by route.
     typical: SortedMap<Name, Duration>,
-    /// Least median time of a leg of late, by route, and when it was seen.
-    calm: SortedMap<Name, (Duration, Instant)>,
 }
 
 /// State of a relay that its tasks share; all run on one thread.
@@ -117,7 +108,6 @@
                 cursors: SortedMap::new(),
                 gathers: GatherLimit::default(),
                 typical: SortedMap::new(),
-                calm: SortedMap::new(),
             }),
             pool: Pool::default(),
             dialect,
@@ -447,20 +437,5 @@
             .mul_f64(factor)
             .clamp(Duration::from_micros(500), route.goal);
         self.typical.insert(route.name.clone(), new);
-        let now = Instant::now();
-        let calm = self.calm.get(&route.name).copied();
-        let is_calmer = calm.is_none_or(|(least, seen)| {
-            let age = now.saturating_duration_since(seen).as_secs_f64();
-            new <= least.mul_f64(1.0 + age * CALM_GROWTH_PER_S)
-        });
-        if is_calmer {
-            self.calm.insert(route.name.clone(), (new, now));
-        }
-    }
-
-    /// Reports whether legs of a route take much longer than in calm times.
-    pub(crate) fn is_congested(&self, route: &Route) -> bool {
-        let calm = self.calm.get(&route.name);
-        calm.is_some_and(|(least, _)| self.typical(route) > least.mul_f64(CONGESTED))
     }
 }
--- a/crates/cornelwinch_relay/src/scatter.rs
+++ b/crates/cornelwinch_relay/src/scatter.rs
@@ -93,7 +93,7 @@
             }
         }
     }
-    started.end = gathering.end(shared.core.borrow().is_congested(&route));
+    started.end = gathering.end();
     // Legs in flight are given up and may have run.
     gathering.ran |= !fetches.is_empty();
     if gathering.is_success() {
@@ -155,10 +155,10 @@
     }
 
     /// What the end tells about the upstreams.
-    fn end(&self, is_congested: bool) -> GatherEnd {
+    fn end(&self) -> GatherEnd {
         if self.is_success() {
             GatherEnd::Served
-        } else if is_congested && self.refused > 0 {
+        } else if self.refused > 0 {
             GatherEnd::Short
         } else {
             GatherEnd::Other
--- a/crates/cornelwinch_routing/src/overload.rs
+++ b/crates/cornelwinch_routing/src/overload.rs
@@ -29,7 +29,7 @@
 pub enum GatherEnd {
     /// It was answered.
     Served,
-    /// Upstreams refused too many legs while those that ran took long.
+    /// Upstreams refused too many legs.
     Short,
     /// Neither.
     Other,
