Limit gathered requests by the shards they need

Cause: since refusals alone lower the limit, one for all routes lets a route whose shard refuses everything take the places of a route without this shard. Tried first, not kept: a limit for each route.

--- a/crates/cornelwinch_relay/src/core.rs
+++ b/crates/cornelwinch_relay/src/core.rs
@@ -4,9 +4,9 @@
 
 use bytes::Bytes;
 use cornelwinch_routing::{
-    BudgetShare, CrashMarks, CrashReport, DesiredChange, Fleet, GatherLimit, GatherPlan, HostEntry,
-    HostPermits, Repeat, RetryBudget, Route, RouteTable, Service, SplitCursor, Target, UpstreamId,
-    UpstreamShare, UpstreamView,
+    BudgetShare, CrashMarks, CrashReport, DesiredChange, Fleet, GatherEnd, GatherLimit, GatherPlan,
+    HostEntry, HostPermits, Repeat, RetryBudget, Route, RouteTable, Service, SplitCursor, Target,
+    UpstreamId, UpstreamShare, UpstreamView,
 };
 use cornelwinch_types::{Name, SortedMap};
 use tokio::sync::{broadcast, watch};
@@ -58,8 +58,9 @@
     pub(crate) most_hosts: Option<usize>,
     pub(crate) rng: fastrand::Rng,
     cursors: SortedMap<Name, SplitCursor>,
-    /// Bound on gathered requests while upstreams are short.
-    pub(crate) gathers: GatherLimit,
+    /// Bounds on gathered requests while upstreams are short, by the shards in order
+    /// of their names: routes with the same shards share upstreams, others need not.
+    pub(crate) gathers: SortedMap<Vec<Name>, GatherLimit>,
     /// Median time of a leg, by route.
     typical: SortedMap<Name, Duration>,
 }
@@ -106,7 +107,7 @@
                 most_hosts: None,
                 rng: fastrand::Rng::new(),
                 cursors: SortedMap::new(),
-                gathers: GatherLimit::default(),
+                gathers: SortedMap::new(),
                 typical: SortedMap::new(),
             }),
             pool: Pool::default(),
@@ -425,6 +426,25 @@
             .unwrap_or_else(|| route.goal.mul_f64(TYPICAL_SHARE))
     }
 
+    /// Counts a gathered request to shards, in order of their names, and returns true
+    /// if it may start.
+    pub(crate) fn start_gather(&mut self, shards: &[Name], now: Instant) -> bool {
+        if let Some(limit) = self.gathers.get_mut(shards) {
+            return limit.start(now);
+        }
+        let mut limit = GatherLimit::default();
+        let may_start = limit.start(now);
+        self.gathers.insert(shards.to_vec(), limit);
+        may_start
+    }
+
+    /// Records the end of a gathered request that was started.
+    pub(crate) fn end_gather(&mut self, shards: &[Name], now: Instant, end: GatherEnd) {
+        if let Some(limit) = self.gathers.get_mut(shards) {
+            limit.end(now, end);
+        }
+    }
+
     /// Moves the usual time of a leg towards a sample.
     pub(crate) fn record_leg_time(&mut self, route: &Route, time: Duration) {
         let old = self.typical(route);
--- a/crates/cornelwinch_relay/src/scatter.rs
+++ b/crates/cornelwinch_relay/src/scatter.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use cornelwinch_routing::{GatherEnd, GatherPlan, PartMerge, RequestPrint, Route};
+use cornelwinch_types::Name;
 use futures_util::StreamExt;
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::FuturesUnordered;
@@ -54,11 +55,14 @@
     if !shared.core.borrow().can_gather(arrived, &plan) {
         return Reply::not_run("shards_unserved");
     }
-    if !shared.core.borrow_mut().gathers.start(arrived) {
+    let mut shards = plan.shards.clone();
+    shards.sort_unstable();
+    if !shared.core.borrow_mut().start_gather(&shards, arrived) {
         return Reply::not_run("overloaded");
     }
     let mut started = Started {
         shared: shared.clone(),
+        shards,
         end: GatherEnd::Other,
     };
     let hedge_after = hedge_after(&shared, &route, HEDGE_SHARE);
@@ -105,13 +109,14 @@
 /// Ends a gathered request for the limit on them, also where its future is dropped.
 struct Started {
     shared: Rc<Shared>,
+    shards: Vec<Name>,
     end: GatherEnd,
 }
 
 impl Drop for Started {
     fn drop(&mut self) {
         let mut core = self.shared.core.borrow_mut();
-        core.gathers.end(Instant::now(), self.end);
+        core.end_gather(&self.shards, Instant::now(), self.end);
     }
 }
 
--- a/crates/cornelwinch_routing/src/overload.rs
+++ b/crates/cornelwinch_routing/src/overload.rs
@@ -35,9 +35,9 @@
     Other,
 }
 
-/// Bounds the gathered requests in progress on this host while upstreams cannot
-/// run all of them. Each such request needs most of its shards, so a little too
-/// many of them leave none complete.
+/// Bounds the gathered requests to the same shards that are in progress on this host
+/// while upstreams cannot run all of them. Each such request needs most of its
+/// shards, so a little too many of them leave none complete.
 #[derive(Debug, Default)]
 pub struct GatherLimit {
     in_progress: usize,
@@ -50,8 +50,7 @@
 impl GatherLimit {
     /// Counts a request and returns true if it may start.
     pub fn start(&mut self, now: Instant) -> bool {
-        let is_over = |at: Instant| now.saturating_duration_since(at) >= CALM;
-        if self.decreased.is_some_and(is_over) {
+        if self.decreased.is_some_and(|at| is_over(at, now)) {
             self.limit = None;
             self.decreased = None;
         }
@@ -64,6 +63,11 @@
         may_start
     }
 
+    /// Reports whether no request is in progress and there is no limit.
+    pub fn is_idle(&self, now: Instant) -> bool {
+        self.in_progress == 0 && self.decreased.is_none_or(|at| is_over(at, now))
+    }
+
     /// Records the end of a request that was started.
     pub fn end(&mut self, now: Instant, end: GatherEnd) {
         let in_progress = self.in_progress as f64;
@@ -87,3 +91,8 @@
         }
     }
 }
+
+/// Reports whether a shortage seen at this time has passed.
+fn is_over(at: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(at) >= CALM
+}
--- a/crates/cornelwinch_routing/tests/gather_limit.rs
+++ b/crates/cornelwinch_routing/tests/gather_limit.rs
@@ -60,8 +60,11 @@
     end_all(&mut limit, now, low, GatherEnd::Served);
     let high = fill(&mut limit, now);
     assert!(high > low, "{high} after {low}");
+    assert!(!limit.is_idle(now));
     end_all(&mut limit, now, high, GatherEnd::Served);
+    assert!(!limit.is_idle(now));
     now += Duration::from_secs(3);
+    assert!(limit.is_idle(now));
     assert_eq!(fill(&mut limit, now), 100);
 }
 
