Leave upstreams that answer 421

All copies of a shard crash, their addresses go to another shard, and the store is silent, so the entries stay. The fleet stops the use of an upstream at LegSign::Misdirected, but no leg ever gave this sign: 421 counted as a refusal. Change: 421 gives that sign. Test: misdirected_leaf_is_left_without_another, six legs to one leaf before, at most one after; the older test passed since its service had another upstream.

--- a/crates/cornelwinch_relay/src/leg.rs
+++ b/crates/cornelwinch_relay/src/leg.rs
@@ -190,10 +190,11 @@
         core.fleet.set_cold(Instant::now(), upstream.id, left);
     }
     let id_matches = head.headers.get(&shared.dialect.headers.request_id) == Some(&out.request_id);
-    let not_run = head
-        .headers
-        .contains_key(&shared.dialect.headers.not_executed)
-        || head.status == StatusCode::MISDIRECTED_REQUEST;
+    let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+    let not_run = is_misdirected
+        || head
+            .headers
+            .contains_key(&shared.dialect.headers.not_executed);
     let names_other = head
         .headers
         .contains_key(&shared.dialect.headers.request_id)
@@ -212,6 +213,9 @@
         let keep_alive = keep_alive_timeout(&head.headers);
         shared.pool.release(upstream.id, sender, keep_alive);
     }
+    if is_misdirected {
+        return (LegEnd::NotRun("misdirected"), Some(LegSign::Misdirected));
+    }
     if not_run {
         return (LegEnd::NotRun("refused"), Some(LegSign::Refused));
     }
