Mend what reads badly in the limit and in reasons

The limit and the time it was lowered exist together, so they are one value; what has lapsed is decided in one place. Why a request was not run is a type that says whether the leg arrived and whether upstreams are short; two places compared strings. take_list and take_changes of follow.rs are one function. Accessors that nothing calls are gone (Fleet::is_registered, Fleet::set_draining, Membership::is_superseded).

--- a/crates/cornelwinch_membership/src/membership.rs
+++ b/crates/cornelwinch_membership/src/membership.rs
@@ -182,12 +182,6 @@
         !self.superseded && (self.confirmed || alone)
     }
 
-    /// Reports whether a newer process has taken this host's name. This one
-    /// neither probes nor spreads updates any more and should exit.
-    pub fn is_superseded(&self) -> bool {
-        self.superseded
-    }
-
     /// Totals since the start.
     pub fn counters(&self) -> Counters {
         self.counters
--- a/crates/cornelwinch_relay/src/core.rs
+++ b/crates/cornelwinch_relay/src/core.rs
@@ -4,9 +4,9 @@
 
 use bytes::Bytes;
 use cornelwinch_routing::{
-    BudgetShare, CrashMarks, CrashReport, DesiredChange, Fleet, GatherEnd, GatherLimit, GatherPlan,
-    HostEntry, HostPermits, Repeat, RetryBudget, Route, RouteTable, Service, SplitCursor, Target,
-    UpstreamId, UpstreamShare, UpstreamView,
+    BudgetShare, CrashMarks, CrashReport, DesiredChange, Fleet, GatherPlan, HostEntry, HostPermits,
+    Repeat, RetryBudget, Route, RouteTable, Service, SplitCursor, Target, UpstreamId,
+    UpstreamShare, UpstreamView,
 };
 use cornelwinch_types::{Name, SortedMap};
 use tokio::sync::{broadcast, watch};
@@ -15,6 +15,7 @@
 use crate::condition::StoreCondition;
 use crate::dialect::{Item, Kind, Value};
 use crate::feed::{FeedMessage, encode};
+use crate::gathers::Gathers;
 use crate::line_limit::LineLimit;
 use crate::metrics::Metrics;
 use crate::mirror::Mirror;
@@ -58,9 +59,7 @@
     pub(crate) most_hosts: Option<usize>,
     pub(crate) rng: fastrand::Rng,
     cursors: SortedMap<Name, SplitCursor>,
-    /// Bounds on gathered requests while upstreams are short, by the shards in order
-    /// of their names: routes with the same shards share upstreams, others need not.
-    pub(crate) gathers: SortedMap<Vec<Name>, GatherLimit>,
+    pub(crate) gathers: Gathers,
     /// Median time of a leg, by route.
     typical: SortedMap<Name, Duration>,
 }
@@ -107,7 +106,7 @@
                 most_hosts: None,
                 rng: fastrand::Rng::new(),
                 cursors: SortedMap::new(),
-                gathers: SortedMap::new(),
+                gathers: Gathers::default(),
                 typical: SortedMap::new(),
             }),
             pool: Pool::default(),
@@ -426,53 +425,6 @@
             .unwrap_or_else(|| route.goal.mul_f64(TYPICAL_SHARE))
     }
 
-    /// Counts a gathered request to shards, in order of their names, and returns true
-    /// if it may start.
-    pub(crate) fn start_gather(&mut self, shards: &[Name], now: Instant) -> bool {
-        if !self.gathers.contains_key(shards) {
-            self.gathers.insert(shards.to_vec(), GatherLimit::default());
-        }
-        let start = |limit: &mut GatherLimit| limit.start(now);
-        self.change_gathers(shards, start).unwrap_or(true)
-    }
-
-    /// Records the end of a gathered request that was started.
-    pub(crate) fn end_gather(&mut self, shards: &[Name], now: Instant, end: GatherEnd) {
-        self.change_gathers(shards, |limit| limit.end(now, end));
-    }
-
-    /// Changes the bound for some shards, and logs if it comes into force or ends.
-    fn change_gathers<T>(
-        &mut self,
-        shards: &[Name],
-        change: impl FnOnce(&mut GatherLimit) -> T,
-    ) -> Option<T> {
-        let limit = self.gathers.get_mut(shards)?;
-        let was_limited = limit.limit().is_some();
-        let result = change(limit);
-        match limit.limit() {
-            Some(limit) if !was_limited => log::warn!(
-                "event=gathers_limited shards={} first={:?} limit={limit}",
-                shards.len(),
-                shards.first()
-            ),
-            None if was_limited => log_unlimited(shards),
-            _ => {}
-        }
-        Some(result)
-    }
-
-    /// Drops the bounds that are not in use.
-    pub(crate) fn prune_gathers(&mut self, now: Instant) {
-        self.gathers.retain(|shards, limit| {
-            let is_idle = limit.is_idle(now);
-            if is_idle && limit.limit().is_some() {
-                log_unlimited(shards);
-            }
-            !is_idle
-        });
-    }
-
     /// Moves the usual time of a leg towards a sample.
     pub(crate) fn record_leg_time(&mut self, route: &Route, time: Duration) {
         let old = self.typical(route);
@@ -487,11 +439,3 @@
         self.typical.insert(route.name.clone(), new);
     }
 }
-
-fn log_unlimited(shards: &[Name]) {
-    log::info!(
-        "event=gathers_unlimited shards={} first={:?}",
-        shards.len(),
-        shards.first()
-    );
-}
--- a/crates/cornelwinch_relay/src/fetch.rs
+++ b/crates/cornelwinch_relay/src/fetch.rs
@@ -11,7 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::core::Shared;
-use crate::leg::{LegEnd, Outgoing, UpstreamAnswer, run_leg};
+use crate::leg::{LegEnd, NotRun, Outgoing, UpstreamAnswer, run_leg};
 
 /// Time for which the other legs of an answered request may end by themselves,
 /// which keeps their connections and tells how their upstreams are.
@@ -44,7 +44,7 @@
     /// An upstream ran the request.
     Answer(UpstreamAnswer),
     /// No upstream ran the request or will.
-    NotRun(&'static str),
+    NotRun(NotRun),
     /// An upstream may have run the request.
     Lost(&'static str),
 }
@@ -64,7 +64,7 @@
     not_run: usize,
     failure: Option<UpstreamAnswer>,
     lost: Option<&'static str>,
-    refused: &'static str,
+    not_run_reason: NotRun,
 }
 
 /// Sends a request to one upstream of a service, and to others as the plan,
@@ -82,7 +82,7 @@
         not_run: 0,
         failure: None,
         lost: None,
-        refused: "no_upstream",
+        not_run_reason: NotRun::NoUpstream,
     };
     if !fetch.start_leg() {
         return fetch.finish();
@@ -145,7 +145,7 @@
         if repeats {
             let core = self.shared.core.borrow();
             if core.marks.is_marked(Instant::now(), self.plan.print) {
-                self.refused = "crashes_upstreams";
+                self.not_run_reason = NotRun::CrashesUpstreams;
                 return false;
             }
         }
@@ -158,7 +158,7 @@
             Repeat::Hedge
         };
         if repeats && !self.shared.spend_repeat(&self.plan.service, repeat) {
-            self.refused = "repeat_budget";
+            self.not_run_reason = NotRun::RepeatBudget;
             if repeat == Repeat::Retry && self.may_log() {
                 log::info!(
                     "event=repeat_denied id={:?} service={} legs={}",
@@ -211,8 +211,8 @@
             LegEnd::NotRun(reason) => {
                 self.running -= 1;
                 self.not_run += 1;
-                self.refused = reason;
-                if !matches!(reason, "refused" | "misdirected") {
+                self.not_run_reason = reason;
+                if !reason.has_arrived() {
                     self.arrived -= 1;
                 }
             }
@@ -241,7 +241,7 @@
                 ("failure", answer.status.as_str())
             }
             LegEnd::Answer(_) => return,
-            LegEnd::NotRun(reason) => ("not_run", *reason),
+            LegEnd::NotRun(reason) => ("not_run", reason.as_str()),
             LegEnd::Lost(reason) => ("unknown", *reason),
             LegEnd::Disconnected => ("unknown", "disconnected"),
         };
@@ -266,7 +266,7 @@
         match (self.failure, self.lost) {
             (Some(answer), _) => FetchEnd::Answer(answer),
             (None, Some(reason)) => FetchEnd::Lost(reason),
-            (None, None) => FetchEnd::NotRun(self.refused),
+            (None, None) => FetchEnd::NotRun(self.not_run_reason),
         }
     }
 }
--- a/crates/cornelwinch_relay/src/follow.rs
+++ b/crates/cornelwinch_relay/src/follow.rs
@@ -6,7 +6,7 @@
 use tokio::time::sleep;
 
 use crate::core::Shared;
-use crate::dialect::{Kind, Page};
+use crate::dialect::{Item, Kind, Page};
 use crate::store::{StoreClient, StoreError};
 
 /// Time beyond the wait after which a watch counts as lost.
@@ -66,11 +66,11 @@
         let step = match revision {
             None => list(&shared, &mut client, kind, false)
                 .await
-                .map(|page| take_list(&shared, kind, page)),
+                .map(|page| take(&shared, kind, page, Shared::take_list)),
             Some(revision) => match watch(&shared, &mut client, kind, revision).await {
                 Ok(page) => {
                     let is_quiet = page.items.is_empty();
-                    let next = take_changes(&shared, kind, page);
+                    let next = take(&shared, kind, page, Shared::take_changes);
                     if !is_quiet {
                         sleep(WATCH_PAUSE).await;
                     }
@@ -127,25 +127,24 @@
 pub(crate) async fn list_hosts(shared: &Rc<Shared>, client: &mut StoreClient, stale: bool) {
     match list(shared, client, Kind::Hosts, stale).await {
         Ok(page) => {
-            take_list(shared, Kind::Hosts, page);
+            take(shared, Kind::Hosts, page, Shared::take_list);
         }
         Err(error) => log::info!("event=hosts_unknown {error}"),
     }
 }
 
-fn take_list(shared: &Shared, kind: Kind, page: Page) -> u64 {
-    let now = Instant::now();
-    shared.condition.record_success(now);
-    let grace = shared.condition.grace(now);
-    shared.take_list(kind, page.revision, page.items, grace);
-    page.revision
-}
-
-fn take_changes(shared: &Shared, kind: Kind, page: Page) -> u64 {
+/// Takes over what the store answered, as a whole list or as changes, and returns
+/// its revision.
+fn take(
+    shared: &Shared,
+    kind: Kind,
+    page: Page,
+    take_items: fn(&Shared, Kind, u64, Vec<Item>, Option<Duration>),
+) -> u64 {
     let now = Instant::now();
     shared.condition.record_success(now);
     let grace = shared.condition.grace(now);
-    shared.take_changes(kind, page.revision, page.items, grace);
+    take_items(shared, kind, page.revision, page.items, grace);
     page.revision
 }
 
--- a/crates/cornelwinch_relay/src/leg.rs
+++ b/crates/cornelwinch_relay/src/leg.rs
@@ -45,13 +45,63 @@
     pub(crate) body: Bytes,
 }
 
+/// Why a request was not run and never will be by an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum NotRun {
+    /// No connection could be made.
+    Connect,
+    /// The upstream left, or its zone was taken out, during the connect.
+    Left,
+    /// No time was left after the connect.
+    Deadline,
+    /// The connection ended before the request was written.
+    Unsent,
+    /// The upstream refused the request.
+    Refused,
+    /// Another upstream has the address now.
+    Misdirected,
+    /// No upstream could be chosen.
+    NoUpstream,
+    /// The bound on repeats was reached.
+    RepeatBudget,
+    /// The request breaks upstreams.
+    CrashesUpstreams,
+}
+
+impl NotRun {
+    /// The reason in logs.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Connect => "connect",
+            Self::Left => "left",
+            Self::Deadline => "deadline",
+            Self::Unsent => "unsent",
+            Self::Refused => "refused",
+            Self::Misdirected => "misdirected",
+            Self::NoUpstream => "no_upstream",
+            Self::RepeatBudget => "repeat_budget",
+            Self::CrashesUpstreams => "crashes_upstreams",
+        }
+    }
+
+    /// Reports whether a leg that ended so has reached an upstream.
+    pub(crate) fn has_arrived(self) -> bool {
+        matches!(self, Self::Refused | Self::Misdirected)
+    }
+
+    /// Reports whether upstreams run fewer legs than they are sent.
+    pub(crate) fn is_shortage(self) -> bool {
+        matches!(self, Self::Refused | Self::RepeatBudget)
+    }
+}
+
 /// How a leg ended.
 #[derive(Debug)]
 pub(crate) enum LegEnd {
     /// The upstream ran the request and this is its answer.
     Answer(UpstreamAnswer),
     /// The upstream did not run the request and never will.
-    NotRun(&'static str),
+    NotRun(NotRun),
     /// The request may have run.
     Lost(&'static str),
     /// The request may have run, and the upstream closed the connection.
@@ -142,7 +192,7 @@
                 "event=connect_failed peer={} reason=\"{error}\"",
                 upstream.name
             );
-            return (LegEnd::NotRun("connect"), Some(LegSign::Unreachable));
+            return (LegEnd::NotRun(NotRun::Connect), Some(LegSign::Unreachable));
         }
     };
     let is_new = connection.is_new;
@@ -154,17 +204,17 @@
         .fleet
         .takes_requests(Instant::now(), upstream.id)
     {
-        return (LegEnd::NotRun("left"), Some(LegSign::Unknown));
+        return (LegEnd::NotRun(NotRun::Left), Some(LegSign::Unknown));
     }
     let Some(request) = build(shared, out, upstream) else {
-        return (LegEnd::NotRun("deadline"), Some(LegSign::Unknown));
+        return (LegEnd::NotRun(NotRun::Deadline), Some(LegSign::Unknown));
     };
     shared.core.borrow_mut().metrics.legs += 1;
     let response = match sender.try_send_request(request).await {
         Ok(response) => response,
         Err(mut error) => {
             if error.take_message().is_some() {
-                return (LegEnd::NotRun("unsent"), Some(LegSign::Unknown));
+                return (LegEnd::NotRun(NotRun::Unsent), Some(LegSign::Unknown));
             }
             // An idle connection that ends may have been closed for its age.
             let sign = if is_new {
@@ -214,10 +264,13 @@
         shared.pool.release(upstream.id, sender, keep_alive);
     }
     if is_misdirected {
-        return (LegEnd::NotRun("misdirected"), Some(LegSign::Misdirected));
+        return (
+            LegEnd::NotRun(NotRun::Misdirected),
+            Some(LegSign::Misdirected),
+        );
     }
     if not_run {
-        return (LegEnd::NotRun("refused"), Some(LegSign::Refused));
+        return (LegEnd::NotRun(NotRun::Refused), Some(LegSign::Refused));
     }
     if !head.headers.contains_key(&shared.dialect.headers.stamp) {
         return (LegEnd::Lost("unstamped"), Some(LegSign::Failed));
--- a/crates/cornelwinch_relay/src/lib.rs
+++ b/crates/cornelwinch_relay/src/lib.rs
@@ -14,6 +14,7 @@
 mod feed;
 mod fetch;
 mod follow;
+mod gathers;
 mod handle;
 mod headers;
 mod leg;
--- a/crates/cornelwinch_relay/src/operator.rs
+++ b/crates/cornelwinch_relay/src/operator.rs
@@ -102,15 +102,7 @@
             upstream.cold_per_s,
         )
     }));
-    lines.extend(core.gathers.iter().map(|(shards, limit)| {
-        format!(
-            "gathers={} first={:?} in_progress={} limit={:?}",
-            shards.len(),
-            shards.first(),
-            limit.in_progress(),
-            limit.limit(),
-        )
-    }));
+    lines.extend(core.gathers.describe());
     lines.extend(core.fleet.describe(now));
     lines.push(String::new());
     lines.join("\n")
--- a/crates/cornelwinch_relay/src/relay.rs
+++ b/crates/cornelwinch_relay/src/relay.rs
@@ -159,7 +159,7 @@
         let lapsed = {
             let mut core = shared.core.borrow_mut();
             core.budget.prune(now, &share);
-            core.prune_gathers(now);
+            core.gathers.prune(now);
             core.fleet.remove_lapsed(now)
         };
         for id in lapsed {
--- a/crates/cornelwinch_relay/src/scatter.rs
+++ b/crates/cornelwinch_relay/src/scatter.rs
@@ -32,8 +32,8 @@
     least: usize,
     /// Shards that can no longer answer.
     failed: usize,
-    /// Shards whose upstreams refused the last leg.
-    refused: usize,
+    /// Upstreams of some shard refused too many legs.
+    is_short: bool,
     /// Some upstream may have run the request.
     ran: bool,
     reason: &'static str,
@@ -57,7 +57,7 @@
     }
     let mut shards = plan.shards.clone();
     shards.sort_unstable();
-    if !shared.core.borrow_mut().start_gather(&shards, arrived) {
+    if !shared.core.borrow_mut().gathers.start(&shards, arrived) {
         return Reply::not_run("overloaded");
     }
     let mut started = Started {
@@ -116,7 +116,7 @@
 impl Drop for Started {
     fn drop(&mut self) {
         let mut core = self.shared.core.borrow_mut();
-        core.end_gather(&self.shards, Instant::now(), self.end);
+        core.gathers.end(&self.shards, Instant::now(), self.end);
     }
 }
 
@@ -128,7 +128,7 @@
             total: plan.shards.len(),
             least: plan.least_parts(),
             failed: 0,
-            refused: 0,
+            is_short: false,
             ran: false,
             reason: "-",
         }
@@ -146,8 +146,8 @@
             }
             FetchEnd::Answer(_) => self.fail("upstream_failure", true),
             FetchEnd::NotRun(reason) => {
-                self.refused += usize::from(matches!(reason, "refused" | "repeat_budget"));
-                self.fail(reason, false);
+                self.is_short |= reason.is_shortage();
+                self.fail(reason.as_str(), false);
             }
             FetchEnd::Lost(reason) => self.fail(reason, true),
         }
@@ -163,7 +163,7 @@
     fn end(&self) -> GatherEnd {
         if self.is_success() {
             GatherEnd::Served
-        } else if self.refused > 0 {
+        } else if self.is_short {
             GatherEnd::Short
         } else {
             GatherEnd::Other
--- a/crates/cornelwinch_relay/src/single.rs
+++ b/crates/cornelwinch_relay/src/single.rs
@@ -42,7 +42,7 @@
     let deadline = out.deadline;
     match timeout_at(deadline.into(), fetch(shared, out, plan)).await {
         Ok(FetchEnd::Answer(answer)) => Reply::relayed(answer),
-        Ok(FetchEnd::NotRun(reason)) => Reply::not_run(reason),
+        Ok(FetchEnd::NotRun(reason)) => Reply::not_run(reason.as_str()),
         Ok(FetchEnd::Lost(reason)) => Reply::unknown(reason),
         Err(_) => Reply::timed_out("deadline"),
     }
--- a/crates/cornelwinch_routing/src/fleet.rs
+++ b/crates/cornelwinch_routing/src/fleet.rs
@@ -320,11 +320,6 @@
             .is_some_and(|u| u.takes_requests(now, &self.evacuated))
     }
 
-    /// Reports whether this start of an upstream is still registered.
-    pub fn is_registered(&self, id: UpstreamId) -> bool {
-        self.upstreams.contains_key(&id)
-    }
-
     /// Lost upstreams that are to be probed now.
     pub fn take_probes(&mut self, now: Instant) -> Vec<UpstreamView> {
         let evacuated = &self.evacuated;
@@ -379,13 +374,6 @@
         }
     }
 
-    /// Records that an upstream leaves, by its own word in an answer.
-    pub fn set_draining(&mut self, id: UpstreamId) {
-        if let Some(upstream) = self.upstreams.get_mut(&id) {
-            upstream.entry.state = UpstreamState::Draining;
-        }
-    }
-
     /// Divides a time by the usual one.
     pub fn ratio(time: Duration, typical: Duration) -> f64 {
         ratio(time, typical)
--- a/crates/cornelwinch_routing/src/overload.rs
+++ b/crates/cornelwinch_routing/src/overload.rs
@@ -41,31 +41,60 @@
 #[derive(Debug, Default)]
 pub struct GatherLimit {
     in_progress: usize,
-    limit: Option<f64>,
-    decreased: Option<Instant>,
+    shortage: Option<Shortage>,
     /// When the places of ended requests become free, earliest first.
     held: VecDeque<Instant>,
 }
 
+#[derive(Debug, Clone, Copy)]
+struct Shortage {
+    /// Requests that may be in progress.
+    limit: f64,
+    /// When the limit was set or lowered last.
+    lowered: Instant,
+}
+
 impl GatherLimit {
     /// Counts a request and returns true if it may start.
     pub fn start(&mut self, now: Instant) -> bool {
-        if self.decreased.is_some_and(|at| is_over(at, now)) {
-            self.limit = None;
-            self.decreased = None;
-        }
-        while self.held.front().is_some_and(|free| *free <= now) {
-            self.held.pop_front();
-        }
-        let taken = self.in_progress + self.held.len();
-        let may_start = self.limit.is_none_or(|limit| (taken as f64) < limit);
+        self.expire(now);
+        let taken = (self.in_progress + self.held.len()) as f64;
+        let may_start = self.shortage.is_none_or(|shortage| taken < shortage.limit);
         self.in_progress += usize::from(may_start);
         may_start
     }
 
-    /// Requests that may be in progress, where this is limited.
-    pub fn limit(&self) -> Option<usize> {
-        self.limit.map(|limit| limit.ceil() as usize)
+    /// Records the end of a request that was started.
+    pub fn end(&mut self, now: Instant, end: GatherEnd) {
+        let in_progress = self.in_progress as f64;
+        self.in_progress = self.in_progress.saturating_sub(1);
+        match (end, &mut self.shortage) {
+            (GatherEnd::Served, Some(shortage)) => {
+                shortage.limit += INCREASE / shortage.limit.max(1.0);
+            }
+            (GatherEnd::Short, shortage) => {
+                self.held.push_back(now + HOLD);
+                let limit = match shortage {
+                    Some(last) if elapsed(last.lowered, now) < DECREASE_EVERY => return,
+                    Some(last) => last.limit.min(in_progress),
+                    None => in_progress,
+                };
+                *shortage = Some(Shortage {
+                    limit: (limit * DECREASE).max(LEAST),
+                    lowered: now,
+                });
+            }
+            (GatherEnd::Served, None) | (GatherEnd::Other, _) => {}
+        }
+    }
+
+    /// Frees places and ends the limit if their time has come.
+    pub fn expire(&mut self, now: Instant) {
+        self.shortage
+            .take_if(|shortage| elapsed(shortage.lowered, now) >= CALM);
+        while self.held.front().is_some_and(|free| *free <= now) {
+            self.held.pop_front();
+        }
     }
 
     /// Requests in progress.
@@ -73,36 +102,17 @@
         self.in_progress
     }
 
-    /// Reports whether no request is in progress and there is no limit.
-    pub fn is_idle(&self, now: Instant) -> bool {
-        self.in_progress == 0 && self.decreased.is_none_or(|at| is_over(at, now))
+    /// Requests that may be in progress; `None` without a limit.
+    pub fn limit(&self) -> Option<usize> {
+        self.shortage.map(|shortage| shortage.limit.ceil() as usize)
     }
 
-    /// Records the end of a request that was started.
-    pub fn end(&mut self, now: Instant, end: GatherEnd) {
-        let in_progress = self.in_progress as f64;
-        self.in_progress = self.in_progress.saturating_sub(1);
-        match end {
-            GatherEnd::Served => {
-                if let Some(limit) = &mut self.limit {
-                    *limit += INCREASE / limit.max(1.0);
-                }
-            }
-            GatherEnd::Short => {
-                self.held.push_back(now + HOLD);
-                let is_recent = |at: Instant| now.saturating_duration_since(at) < DECREASE_EVERY;
-                if !self.decreased.is_some_and(is_recent) {
-                    let limit = self.limit.unwrap_or(in_progress).min(in_progress);
-                    self.limit = Some((limit * DECREASE).max(LEAST));
-                    self.decreased = Some(now);
-                }
-            }
-            GatherEnd::Other => {}
-        }
+    /// Reports whether no request is in progress and there is no limit.
+    pub fn is_idle(&self) -> bool {
+        self.in_progress == 0 && self.shortage.is_none()
     }
 }
 
-/// Reports whether a shortage seen at this time has passed.
-fn is_over(at: Instant, now: Instant) -> bool {
-    now.saturating_duration_since(at) >= CALM
+fn elapsed(at: Instant, now: Instant) -> Duration {
+    now.saturating_duration_since(at)
 }
--- a/crates/cornelwinch_routing/tests/gather_limit.rs
+++ b/crates/cornelwinch_routing/tests/gather_limit.rs
@@ -60,13 +60,15 @@
     end_all(&mut limit, now, low, GatherEnd::Served);
     let high = fill(&mut limit, now);
     assert!(high > low, "{high} after {low}");
-    assert!(!limit.is_idle(now));
+    assert!(!limit.is_idle());
     assert_eq!(limit.limit(), Some(high));
     assert_eq!(limit.in_progress(), high);
     end_all(&mut limit, now, high, GatherEnd::Served);
-    assert!(!limit.is_idle(now));
+    limit.expire(now);
+    assert!(!limit.is_idle());
     now += Duration::from_secs(3);
-    assert!(limit.is_idle(now));
+    limit.expire(now);
+    assert!(limit.is_idle());
     assert_eq!(fill(&mut limit, now), 100);
     assert_eq!(limit.limit(), None);
 }
--- a/crates/cornelwinch_routing/tests/overload_plant.rs
+++ b/crates/cornelwinch_routing/tests/overload_plant.rs
@@ -114,6 +114,7 @@
 fn half_of_what_leaves_can_run_is_answered() {
     let possible = SLOTS * LENGTH_WORKS as usize;
     for work_ms in [15, 50, 100] {
+        let mut least = possible;
         for spread_ms in [1, 4, 15, 30] {
             for callers in [20, 80, 320] {
                 for seed in 0..6 {
@@ -125,8 +126,10 @@
                     };
                     let served = play(&case);
                     assert!(served >= possible / 2, "{served} of {possible}: {case:?}");
+                    least = least.min(served);
                 }
             }
         }
+        println!("legs of {work_ms} ms: {least} of {possible} in the worst case");
     }
 }
