Read a claim again when its holder is lost

Cause: a host that had read a claim before its holder recorded the result forwarded later copies to that holder as long as it counted as alive. After a kill of the holder the forward failed and the copy got 'unknown', although the result was in the platform's store. Ruled out: the write of the result (the new scenario waits until it is recorded before the kill).

Change: a copy whose forward fails is decided again from a fresh view of the bucket. It is never started and never sent to the lost holder again; without a result in that view it is 'unknown' as before. Also while the platform is away.

--- a/crates/cornelwinch_host/src/claiming.rs
+++ b/crates/cornelwinch_host/src/claiming.rs
@@ -1,7 +1,7 @@
 use std::time::{Duration, Instant};
 
 use cornelwinch_tickets::{
-    BucketReply, ClaimAction, ClaimBegin, ClaimConfig, Claims, TicketResult,
+    BucketReply, ClaimAction, ClaimBegin, ClaimConfig, ClaimCopy, Claims, TicketResult,
 };
 use cornelwinch_types::{Member, Name, SortedMap};
 
@@ -94,6 +94,31 @@
         self.on_claim_actions(now, actions, out);
     }
 
+    /// Decides again about a copy that was forwarded to a host whose connection failed.
+    pub(crate) fn reclaim(
+        &mut self,
+        now: Instant,
+        claim: Name,
+        work: Work,
+        waiter: Waiter,
+        holder: &Name,
+        out: &mut Vec<Action>,
+    ) {
+        let number = self.runs.next_number();
+        let copy = ClaimCopy {
+            key: claim,
+            fingerprint: work.fingerprint(),
+            waiter: number,
+            deadline: work.deadline,
+        };
+        self.runs.add_waiter(number, waiter);
+        self.claiming.undecided.insert(number, work);
+        let mut actions = Vec::new();
+        let claims = &mut self.claiming.claims;
+        claims.reclaim(now, copy, holder.clone(), &mut actions);
+        self.on_claim_actions(now, actions, out);
+    }
+
     /// Records the result of a key; returns the waiters that get it.
     pub(crate) fn finish_claim(
         &mut self,
--- a/crates/cornelwinch_host/src/running.rs
+++ b/crates/cornelwinch_host/src/running.rs
@@ -38,15 +38,15 @@
         Fingerprint::of(&self.search, &format!("{}\0{}", self.key, self.body))
     }
 
-    fn into_request(self, now: Instant, request: u64) -> RunRequest {
+    fn to_request(&self, now: Instant, request: u64) -> RunRequest {
         RunRequest {
             request,
-            id: self.id,
-            customer: self.customer,
-            search: self.search,
-            class: self.class,
+            id: self.id.clone(),
+            customer: self.customer.clone(),
+            search: self.search.clone(),
+            class: self.class.clone(),
             key: self.key,
-            body: self.body,
+            body: self.body.clone(),
             priority: self.priority,
             budget: self.deadline.saturating_duration_since(now),
         }
@@ -64,9 +64,8 @@
 #[derive(Debug)]
 struct Forwarded {
     waiter: Waiter,
-    id: RunId,
+    work: Work,
     host: Name,
-    deadline: Instant,
 }
 
 /// A request that this host runs.
@@ -107,7 +106,7 @@
     pub(crate) fn next_wake(&self) -> Option<Instant> {
         let runs = self.running.values();
         let runs = runs.filter_map(|running| running.run.next_wake());
-        let forwarded = self.forwarded.values().map(|forwarded| forwarded.deadline);
+        let forwarded = self.forwarded.values().map(|f| f.work.deadline);
         runs.chain(forwarded).min()
     }
 
@@ -124,6 +123,20 @@
     pub(crate) fn take_waiter(&mut self, number: u64) -> Option<Waiter> {
         self.waiters.remove(&number)
     }
+
+    /// Removes the forwarded requests that match.
+    fn take_forwarded(&mut self, matches: impl Fn(&Forwarded) -> bool) -> Vec<Forwarded> {
+        let numbers: Vec<u64> = self
+            .forwarded
+            .iter()
+            .filter(|(_, forwarded)| matches(forwarded))
+            .map(|(number, _)| *number)
+            .collect();
+        numbers
+            .iter()
+            .filter_map(|number| self.forwarded.remove(number))
+            .collect()
+    }
 }
 
 impl Host {
@@ -219,8 +232,10 @@
             running.run.on_wake(now, &mut actions);
             self.on_run_actions(now, number, actions, out);
         }
-        let late = TicketResult::unknown("deadline_passed");
-        self.end_forwarded(now, &late, |f| f.deadline <= now, out);
+        for f in self.runs.take_forwarded(|f| f.work.deadline <= now) {
+            let late = TicketResult::unknown("deadline_passed");
+            self.answer_waiter(now, f.waiter, &f.work.id, late, out);
+        }
     }
 
     fn on_run_actions(
@@ -304,15 +319,14 @@
     /// Sends a request to the host that may run it and waits for the result.
     pub(crate) fn forward_run(&mut self, now: Instant, waiter: Waiter, work: Work, host: &Name) {
         let request = self.runs.next_number();
+        let msg = PeerMessage::Run(work.to_request(now, request));
+        self.router.push(host, msg);
         let forwarded = Forwarded {
             waiter,
-            id: work.id.clone(),
+            work,
             host: host.clone(),
-            deadline: work.deadline,
         };
         self.runs.forwarded.insert(request, forwarded);
-        let msg = PeerMessage::Run(work.into_request(now, request));
-        self.router.push(host, msg);
     }
 
     /// Runs a request for another host, which has admitted it.
@@ -355,34 +369,19 @@
         if forwarded.is_some_and(|forwarded| forwarded.host == *from)
             && let Some(f) = self.runs.forwarded.remove(&request)
         {
-            self.answer_waiter(now, f.waiter, &f.id, result, out);
+            self.answer_waiter(now, f.waiter, &f.work.id, result, out);
         }
     }
 
     /// Ends the requests forwarded to a host whose connection failed. Even if
     /// a request did not leave here, it may have run there for a caller of
     /// another host, so that only that host could say it did not run.
+    /// For a claim, the result may be recorded in the platform's store.
     pub(crate) fn on_run_host_down(&mut self, now: Instant, host: &Name, out: &mut Vec<Action>) {
-        self.end_forwarded(now, &host_gone(), |f| f.host == *host, out);
-    }
-
-    fn end_forwarded(
-        &mut self,
-        now: Instant,
-        result: &TicketResult,
-        ends: impl Fn(&Forwarded) -> bool,
-        out: &mut Vec<Action>,
-    ) {
-        let lost: Vec<u64> = self
-            .runs
-            .forwarded
-            .iter()
-            .filter(|(_, forwarded)| ends(forwarded))
-            .map(|(request, _)| *request)
-            .collect();
-        for request in lost {
-            if let Some(f) = self.runs.forwarded.remove(&request) {
-                self.answer_waiter(now, f.waiter, &f.id, result.clone(), out);
+        for Forwarded { waiter, work, .. } in self.runs.take_forwarded(|f| f.host == *host) {
+            match work.id.clone() {
+                RunId::Claim(claim) => self.reclaim(now, claim, work, waiter, host, out),
+                RunId::Ticket(_) => self.answer_waiter(now, waiter, &work.id, host_gone(), out),
             }
         }
     }
--- a/crates/cornelwinch_lab/src/scenarios.rs
+++ b/crates/cornelwinch_lab/src/scenarios.rs
@@ -155,6 +155,37 @@
         lines
     }
 
+    /// Kills the home after the result of a request was recorded, while another
+    /// host knows the claim without its result and still counts the home as
+    /// alive. The line gives the copies before the kill, one at the other host
+    /// right after it, and one once the home is back.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the thread of a caller has panicked or the home cannot be
+    /// started again.
+    pub fn kill_recorded_home(&mut self) -> String {
+        self.settle();
+        let req = self.order(HOME);
+        self.apply(&UpstreamFault::Hold);
+        let own = self.start_running(HOME, &req);
+        let copy = self.start_copy(OTHER, &req, 1);
+        self.apply(&UpstreamFault::Release);
+        let copy = copy.join().expect("the caller's thread ends");
+        let first = format!(
+            "{}, {}",
+            self.describe(&req, copy),
+            self.finish(&req, own, &[])
+        );
+        wait_until("the result is recorded", || self.field(HOME, "claims") == 0);
+        self.deployment.hosts[HOME].kill();
+        let away = self.resend(&req, &[OTHER]);
+        let started = self.deployment.hosts[HOME].start();
+        started.expect("the program starts again");
+        self.settle();
+        format!("{first}; {away}; {}", self.resend(&req, &[HOME]))
+    }
+
     /// Freezes the home past the deadline while one request has been
     /// answered, one runs and one is on its way to it.
     ///
--- a/crates/cornelwinch_tickets/src/bucket.rs
+++ b/crates/cornelwinch_tickets/src/bucket.rs
@@ -91,6 +91,9 @@
     pub(crate) waiters: Vec<ClaimWaiter>,
     /// Number of exchanges started before the claim was made.
     pub(crate) after: u64,
+    /// Holder to which a copy was forwarded without a result. It gets no further copy, and the key
+    /// may have run.
+    pub(crate) lost_holder: Option<Name>,
 }
 
 /// What one host knows about a bucket.
--- a/crates/cornelwinch_tickets/src/claim.rs
+++ b/crates/cornelwinch_tickets/src/claim.rs
@@ -1,6 +1,6 @@
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use cornelwinch_types::Name;
+use cornelwinch_types::{Fingerprint, Name};
 
 use crate::bucket::ClaimBucket;
 use crate::result::TicketResult;
@@ -16,6 +16,19 @@
     pub retention: Duration,
 }
 
+/// A copy of a request that names a key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClaimCopy {
+    /// Key of the request, which must include the customer.
+    pub key: Name,
+    /// Hash of search and body.
+    pub fingerprint: Fingerprint,
+    /// Number with which the decision is returned.
+    pub waiter: u64,
+    /// Time after which the copy is not started.
+    pub deadline: Instant,
+}
+
 /// What to do with a request that names a key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ClaimBegin {
--- a/crates/cornelwinch_tickets/src/claims.rs
+++ b/crates/cornelwinch_tickets/src/claims.rs
@@ -5,7 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::bucket::{Bucket, BucketReply, ClaimBucket, ClaimRecord, ClaimWaiter, PendingClaim};
-use crate::claim::{ClaimAction, ClaimBegin, ClaimConfig};
+use crate::claim::{ClaimAction, ClaimBegin, ClaimConfig, ClaimCopy};
 use crate::result::TicketResult;
 
 /// Pause after the platform was found away.
@@ -109,29 +109,73 @@
         deadline: Instant,
         out: &mut Vec<ClaimAction>,
     ) {
-        let key = Name::from(key);
+        let copy = ClaimCopy {
+            key: key.into(),
+            fingerprint,
+            waiter,
+            deadline,
+        };
+        self.decide_copy(now, copy, None, out);
+    }
+
+    /// Decides again about a copy that was forwarded to `holder`, whose connection failed without
+    /// a result. The holder may have recorded its result since this host read the bucket, so the
+    /// bucket is read again. The copy is neither started nor forwarded to `holder`.
+    pub fn reclaim(
+        &mut self,
+        now: Instant,
+        copy: ClaimCopy,
+        holder: Name,
+        out: &mut Vec<ClaimAction>,
+    ) {
+        self.decide_copy(now, copy, Some(holder), out);
+    }
+
+    fn decide_copy(
+        &mut self,
+        now: Instant,
+        copy: ClaimCopy,
+        lost_holder: Option<Name>,
+        out: &mut Vec<ClaimAction>,
+    ) {
+        let ClaimCopy {
+            key,
+            fingerprint,
+            waiter,
+            deadline,
+        } = copy;
         if let Ok(i) = self.find_held(&key) {
             let begin = join(&mut self.held[i], fingerprint, waiter);
             return out.push(ClaimAction::Begin { waiter, key, begin });
         }
         let i = (xxh3_64(key.as_bytes()) % self.buckets.len() as u64) as usize;
         if deadline <= now {
-            let begin = self.late(i, &key, fingerprint);
+            let begin = match self.late(i, &key, fingerprint) {
+                ClaimBegin::NotRun(_) if lost_holder.is_some() => ClaimBegin::Unknown,
+                begin => begin,
+            };
             return out.push(ClaimAction::Begin { waiter, key, begin });
         }
         let bucket = &mut self.buckets[i];
-        let claim_waiter = ClaimWaiter { waiter, deadline };
+        let copy = ClaimWaiter { waiter, deadline };
         match bucket.pending.iter_mut().find(|p| p.key == key) {
             Some(pending) if pending.fingerprint != fingerprint => {
                 let begin = ClaimBegin::Conflict;
                 out.push(ClaimAction::Begin { waiter, key, begin });
             }
-            Some(pending) => pending.waiters.push(claim_waiter),
+            Some(pending) => {
+                pending.waiters.push(copy);
+                if lost_holder.is_some() {
+                    pending.lost_holder = lost_holder;
+                    pending.after = bucket.started;
+                }
+            }
             None => bucket.pending.push(PendingClaim {
                 key,
                 fingerprint,
-                waiters: vec![claim_waiter],
+                waiters: vec![copy],
                 after: bucket.started,
+                lost_holder,
             }),
         }
         self.drive(now, i, out);
@@ -200,7 +244,10 @@
     /// Ends the pending claims of a bucket that cannot be read.
     fn refuse_away(&mut self, i: usize, out: &mut Vec<ClaimAction>) {
         for pending in mem::take(&mut self.buckets[i].pending) {
-            let begin = self.refusal(i, &pending.key, "platform_away");
+            let begin = match pending.lost_holder {
+                Some(_) => ClaimBegin::Unknown,
+                None => self.refusal(i, &pending.key, "platform_away"),
+            };
             answer(pending, &begin, out);
         }
     }
@@ -266,7 +313,10 @@
         for pending in &mut all {
             for late in pending.waiters.extract_if(.., |w| w.deadline <= now) {
                 let (waiter, key) = (late.waiter, pending.key.clone());
-                let begin = self.refusal(i, &key, "deadline_passed");
+                let begin = match pending.lost_holder {
+                    Some(_) => ClaimBegin::Unknown,
+                    None => self.refusal(i, &key, "deadline_passed"),
+                };
                 out.push(ClaimAction::Begin { waiter, key, begin });
             }
         }
@@ -303,7 +353,8 @@
         }
         // A claim of a host that is gone, or of this one, needs a fresh view.
         let content = &bucket.content;
-        let stale = bucket.pending.iter().any(|p| content.find(&p.key).is_ok());
+        let is_stale = |p: &PendingClaim| p.lost_holder.is_some() || content.find(&p.key).is_ok();
+        let stale = bucket.pending.iter().any(is_stale);
         let number = i as u32;
         bucket.busy = true;
         bucket.started += 1;
@@ -380,12 +431,16 @@
     fn decide(&mut self, now: Instant, i: usize, out: &mut Vec<ClaimAction>) {
         for pending in mem::take(&mut self.buckets[i].pending) {
             let bucket = &mut self.buckets[i];
+            let fresh = bucket.seen > pending.after;
             let Ok(at) = bucket.content.find(&pending.key) else {
-                bucket.pending.push(pending);
+                if fresh && pending.lost_holder.is_some() {
+                    answer(pending, &ClaimBegin::Unknown, out);
+                } else {
+                    bucket.pending.push(pending);
+                }
                 continue;
             };
             let record = &bucket.content.claims[at];
-            let fresh = bucket.seen > pending.after;
             let holder = (record.host.clone(), record.incarnation);
             let begin = if record.fingerprint != pending.fingerprint {
                 ClaimBegin::Conflict
@@ -397,7 +452,10 @@
                 // record may have been dropped since and claimed by another.
                 self.start(now, pending, out);
                 continue;
-            } else if holder.0 != self.me && self.live.binary_search(&holder).is_ok() {
+            } else if holder.0 != self.me
+                && pending.lost_holder.as_ref() != Some(&holder.0)
+                && self.live.binary_search(&holder).is_ok()
+            {
                 ClaimBegin::Elsewhere(holder.0)
             } else if fresh {
                 ClaimBegin::Unknown
--- a/crates/cornelwinch_tickets/src/lib.rs
+++ b/crates/cornelwinch_tickets/src/lib.rs
@@ -9,7 +9,7 @@
 mod table;
 
 pub use bucket::{BucketReply, ClaimBucket, ClaimRecord};
-pub use claim::{ClaimAction, ClaimBegin, ClaimConfig};
+pub use claim::{ClaimAction, ClaimBegin, ClaimConfig, ClaimCopy};
 pub use claims::Claims;
 pub use id::{TicketId, TicketIdError};
 pub use result::TicketResult;
--- a/crates/cornelwinch_tickets/tests/known_results.rs
+++ b/crates/cornelwinch_tickets/tests/known_results.rs
@@ -1,13 +1,14 @@
 //! Guards against a resend that is refused as not run, because the platform is
-//! away, although its host knows that the key has run.
+//! away, although its host knows that the key has run, and against one whose
+//! recorded result is not read after its holder was lost.
 
 use std::time::{Duration, Instant};
 
 use cornelwinch_tickets::{
-    BucketReply, ClaimAction, ClaimBegin, ClaimBucket, ClaimConfig, ClaimRecord, Claims,
+    BucketReply, ClaimAction, ClaimBegin, ClaimBucket, ClaimConfig, ClaimCopy, ClaimRecord, Claims,
     TicketResult,
 };
-use cornelwinch_types::{Fingerprint, Incarnation};
+use cornelwinch_types::{Fingerprint, Incarnation, Member, MemberState};
 
 #[test]
 fn result_is_known_while_away() {
@@ -94,3 +95,77 @@
         assert!(out.last().is_some_and(begin), "waiter {waiter}: {out:?}");
     }
 }
+
+/// A copy that was forwarded to a holder which still counts as alive is decided by
+/// the next view of the bucket, and is never started.
+#[test]
+fn lost_holder_is_read_again() {
+    let now = Instant::now();
+    let deadline = now + Duration::from_secs(5);
+    let cfg = ClaimConfig {
+        buckets: 1,
+        retention: Duration::from_secs(3600),
+    };
+    let body = Fingerprint::of("stock", "two pallets");
+    let result = TicketResult::unknown("disconnected");
+    let record = |result| ClaimRecord {
+        key: "key".into(),
+        fingerprint: body,
+        host: "host-2".into(),
+        incarnation: Incarnation(1),
+        claimed_s: 3600,
+        result,
+    };
+    let view = |version, claims| BucketReply::Present {
+        version,
+        value: ClaimBucket { claims },
+    };
+    let cases = [
+        (
+            view(2, vec![record(Some(result.clone()))]),
+            ClaimBegin::Finished(result.clone()),
+        ),
+        (view(1, vec![record(None)]), ClaimBegin::Unknown),
+        (view(2, vec![]), ClaimBegin::Unknown),
+        (BucketReply::Unavailable, ClaimBegin::Unknown),
+    ];
+    for (reply, expected) in cases {
+        let mut claims = Claims::open(now, cfg.retention, "host-1".into(), Incarnation(1), cfg);
+        let addr = "127.0.0.1:1".parse().unwrap();
+        claims.set_members(&[Member {
+            name: "host-2".into(),
+            zone: "a".into(),
+            incarnation: Incarnation(1),
+            state: MemberState::Alive,
+            peer: addr,
+            gossip: addr,
+        }]);
+        let mut out = Vec::new();
+        claims.claim(now, "key", body, 1, deadline, &mut out);
+        claims.on_reply(now, 0, view(1, vec![record(None)]), &mut out);
+        let begin = ClaimBegin::Elsewhere("host-2".into());
+        let forwarded = ClaimAction::Begin {
+            waiter: 1,
+            key: "key".into(),
+            begin,
+        };
+        assert_eq!(out.last(), Some(&forwarded));
+        out.clear();
+        let copy = ClaimCopy {
+            key: "key".into(),
+            fingerprint: body,
+            waiter: 1,
+            deadline,
+        };
+        claims.reclaim(now, copy, "host-2".into(), &mut out);
+        assert_eq!(out, [ClaimAction::Read { bucket: 0 }]);
+        out.clear();
+        claims.on_reply(now, 0, reply.clone(), &mut out);
+        let decided = ClaimAction::Begin {
+            waiter: 1,
+            key: "key".into(),
+            begin: expected,
+        };
+        assert_eq!(out, [decided], "{reply:?}");
+    }
+}
--- a/tests/claim_faults.rs
+++ b/tests/claim_faults.rs
@@ -52,3 +52,14 @@
     assert_eq!(lab.violations(), 0);
     println!("answers: {}", lab.tally());
 }
+
+/// Guards against `unknown` for a request whose recorded result outlives its home, at a host
+/// that has read the claim before the result was recorded.
+#[test]
+fn recorded_result_outlives_home() {
+    let program = HostProgram::new(env!("CARGO_BIN_EXE_cornelwinchd"));
+    let mut lab = FaultLab::spawn(IdKind::Own, &program).unwrap();
+    let line = "done, done, runs 1; done, runs 1; done, runs 1";
+    assert_eq!(lab.kill_recorded_home(), line);
+    assert_eq!(lab.violations(), 0);
+}
