Decode each object of the store by itself

Cause: a page of the store was decoded as one document. An object nested beyond the decoder's recursion limit, a number out of range or bytes that are not text made the whole page unreadable, and the host followed that kind no more. A remaining cold time of 1e300 ms, the same in Cold-Ms, Deadline-Ms: 1e300 from a caller and Keep-Alive: timeout= overflowed a duration or an instant: the panic ends the process.

Change: items and events are split without being decoded (RawValue, which does not recurse), bytes that are not text are marked first (JsonText), and each object is decoded by itself, on the feed and in the owner path's client too. An upstream whose new entry cannot be read is not used until it can be. What belongs to no object is logged once for each revision. Times are bounded where they enter. Messages between hosts are bounded at 24 MiB.

--- a/crates/cornelwinch_daemon/src/platform.rs
+++ b/crates/cornelwinch_daemon/src/platform.rs
@@ -169,6 +169,9 @@
 fn changes(result: Result<Listing, PlatformError>) -> PlatformEvent {
     match result {
         Ok(listing) => {
+            for reason in &listing.unreadable {
+                log::warn!("event=unreadable_object reason={reason:?}");
+            }
             let (entries, invalid) = listing.entries();
             for object in invalid {
                 log::warn!("event=invalid_object error=\"{object}\"");
--- a/crates/cornelwinch_platform/src/client.rs
+++ b/crates/cornelwinch_platform/src/client.rs
@@ -1,10 +1,11 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use cornelwinch_types::Revision;
+use cornelwinch_types::{JsonText, Revision};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
+use serde_json::value::RawValue;
 use ureq::http::Method;
 
 use crate::backoff::Backoff;
@@ -48,7 +49,7 @@
 ///
 /// ```no_run
 /// use cornelwinch_platform::{PlatformClient, Timeouts};
-/// use cornelwinch_types::Revision;
+/// use cornelwinch_types::{JsonText, Revision};
 ///
 /// let client = PlatformClient::open(([127, 0, 0, 1], 7000).into(), Timeouts::default());
 /// let listing = client.list(Revision(0), &["plan", "customer"])?;
@@ -133,7 +134,7 @@
                 query(kinds)
             );
             let page: Listing = match self.read(&path, self.deadline()) {
-                Ok(answer) => self.decode(&path, &answer)?,
+                Ok(answer) => self.decode_listing(&path, &answer)?,
                 Err(PlatformError::NoAnswer { source, .. })
                     if limit > 1 && matches!(*source, ureq::Error::BodyExceedsLimit(_)) =>
                 {
@@ -148,6 +149,7 @@
             }
             all.revision = page.revision.max(all.revision);
             all.objects.extend(page.objects);
+            all.unreadable.extend(page.unreadable);
             if !page.more {
                 return Ok(all);
             }
@@ -176,22 +178,36 @@
             body: None,
             timeout,
         })?;
-        self.decode(&path, &self.expect_ok(&path, answer)?)
+        self.decode_listing(&path, &self.expect_ok(&path, answer)?)
     }
 
-    /// Reads the platform's list of hosts, which lags behind their real state.
+    /// Reads the platform's list of hosts, which lags behind their real state. Hosts that cannot
+    /// be decoded are left out.
     ///
     /// # Errors
     ///
     /// Returns the error of the last attempt.
     pub fn hosts(&self) -> Result<Vec<PlatformHost>, PlatformError> {
         #[derive(Deserialize)]
-        struct Hosts {
-            hosts: Vec<PlatformHost>,
+        struct Hosts<'a> {
+            #[serde(borrow)]
+            hosts: Vec<&'a RawValue>,
         }
-        let answer = self.read("/v1/hosts", self.deadline())?;
-        let hosts: Hosts = self.decode("/v1/hosts", &answer)?;
-        Ok(hosts.hosts)
+        let path = "/v1/hosts";
+        let answer = self.read(path, self.deadline())?;
+        let text = JsonText::new(&answer.body);
+        let listed: Hosts<'_> =
+            serde_json::from_str(text.as_str()).map_err(|e| self.malformed(path, e.to_string()))?;
+        let decode = |host: &&RawValue| {
+            let host = Some(host.get()).filter(|host| text.is_intact(host))?;
+            serde_json::from_str(host).ok()
+        };
+        let hosts: Vec<PlatformHost> = listed.hosts.iter().filter_map(decode).collect();
+        if hosts.len() < listed.hosts.len() {
+            let count = listed.hosts.len() - hosts.len();
+            log::debug!("event=hosts_unreadable count={count}");
+        }
+        Ok(hosts)
     }
 
     pub(crate) fn deadline(&self) -> Instant {
@@ -304,6 +320,10 @@
         serde_json::from_slice(&answer.body).map_err(|e| self.malformed(path, e.to_string()))
     }
 
+    fn decode_listing(&self, path: &str, answer: &Answer) -> Result<Listing, PlatformError> {
+        Listing::decode(&answer.body).map_err(|e| self.malformed(path, e.to_string()))
+    }
+
     fn malformed(&self, path: &str, problem: String) -> PlatformError {
         PlatformError::Malformed {
             step: path.to_owned(),
--- a/crates/cornelwinch_platform/src/object.rs
+++ b/crates/cornelwinch_platform/src/object.rs
@@ -1,8 +1,9 @@
 use std::net::SocketAddr;
 
 use cornelwinch_config::{Entry, EntryValue, Kind};
-use cornelwinch_types::{Name, Revision};
+use cornelwinch_types::{JsonText, Name, Revision};
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use serde_json::{Value, json};
 use snafu::Snafu;
 
@@ -96,18 +97,64 @@
 }
 
 /// Objects that changed after a revision.
-#[derive(Debug, Clone, PartialEq, Default, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct Listing {
     /// Revision up to which the objects are complete.
     pub revision: Revision,
     /// Objects by ascending revision, deleted ones included.
     pub objects: Vec<Object>,
     /// Reports whether the platform has more changes to list.
-    #[serde(default)]
     pub more: bool,
+    /// Reasons for which objects were left out whose kind, name, version or revision cannot be
+    /// decoded.
+    pub unreadable: Vec<String>,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawListing<'a> {
+    revision: Revision,
+    #[serde(borrow)]
+    objects: Vec<&'a RawValue>,
+    #[serde(default)]
+    more: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawObject<'a> {
+    kind: Name,
+    name: Name,
+    version: u64,
+    revision: Revision,
+    #[serde(default)]
+    deleted: bool,
+    #[serde(borrow)]
+    value: Option<&'a RawValue>,
 }
 
 impl Listing {
+    /// Decodes a list. Each object is decoded separately: the value of one that cannot be decoded
+    /// is `None`, and the others are as they were sent.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the structure around the objects is invalid.
+    pub fn decode(body: &[u8]) -> Result<Self, serde_json::Error> {
+        let text = JsonText::new(body);
+        let list: RawListing<'_> = serde_json::from_str(text.as_str())?;
+        let mut listing = Self {
+            revision: list.revision,
+            more: list.more,
+            ..Self::default()
+        };
+        for raw in list.objects {
+            match serde_json::from_str::<RawObject<'_>>(raw.get()) {
+                Ok(raw) => listing.objects.push(raw.decode(&text)),
+                Err(error) => listing.unreadable.push(error.to_string()),
+            }
+        }
+        Ok(listing)
+    }
+
     /// Configuration entries of the list, and objects of configuration kinds
     /// that are no valid entries. Other kinds are left out.
     pub fn entries(&self) -> (Vec<Entry>, Vec<InvalidObject>) {
@@ -126,6 +173,21 @@
     }
 }
 
+impl RawObject<'_> {
+    fn decode(self, text: &JsonText<'_>) -> Object {
+        let value = self.value.map(RawValue::get);
+        let value = value.filter(|value| text.is_intact(value));
+        Object {
+            kind: self.kind,
+            name: self.name,
+            version: self.version,
+            revision: self.revision,
+            deleted: self.deleted,
+            value: value.and_then(|value| serde_json::from_str(value).ok()),
+        }
+    }
+}
+
 /// Role of a host on the platform's list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/cornelwinch_relay/src/dialect.rs
+++ b/crates/cornelwinch_relay/src/dialect.rs
@@ -83,12 +83,25 @@
 pub struct ObjectPage {
     /// Listed or changed objects, in the order of the store.
     pub items: Vec<StoreObject>,
+    /// Parts of the answer that could not be decoded and belong to no item.
+    pub problems: Vec<ObjectProblem>,
     /// Name after which the next page of the list starts; `None` on the last page.
     pub next: Option<String>,
     /// Revision after which a watch continues.
     pub revision: u64,
 }
 
+/// A part of an answer of the store that could not be decoded.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ObjectProblem {
+    /// Name of the object, or what is known instead.
+    pub object: String,
+    /// Revision of the object's last change, if it could be decoded.
+    pub revision: Option<u64>,
+    /// Description of the problem.
+    pub reason: String,
+}
+
 /// An object of the store, or the removal of one.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct StoreObject {
--- a/crates/cornelwinch_relay/src/feed.rs
+++ b/crates/cornelwinch_relay/src/feed.rs
@@ -3,19 +3,21 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use ciborium::Value;
 use cornelwinch_routing::{CrashReport, DesiredStateDelta};
 use cornelwinch_types::Name;
 use futures_util::{SinkExt, StreamExt};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::broadcast::error::RecvError;
 use tokio::time::{interval, timeout};
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::handshake::server::{Request, Response};
-use tokio_tungstenite::{WebSocketStream, accept_hdr_async};
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::{WebSocketStream, accept_hdr_async_with_config};
 
 use crate::core::Shared;
-use crate::dialect::{ObjectKind, StoreObject};
+use crate::dialect::{ObjectKind, ObjectValue, StoreObject};
 
 /// Interval between two heartbeats of a source.
 pub(crate) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(350);
@@ -23,6 +25,9 @@
 /// Longest time for a handshake, for sending one message and for receiving an expected one.
 const SEND_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Largest message that a host accepts from another one. It holds the list of 76,000 upstreams.
+const MAX_MESSAGE_BYTES: usize = 24 << 20;
+
 /// Object kinds that a source sends to the hosts that it feeds.
 pub(crate) const FED_KINDS: [ObjectKind; 4] = [
     ObjectKind::DesiredState,
@@ -47,12 +52,14 @@
     List {
         kind: ObjectKind,
         revision: u64,
+        #[serde(deserialize_with = "deserialize_items")]
         items: Vec<StoreObject>,
     },
     /// Changed objects of a kind.
     Changes {
         kind: ObjectKind,
         revision: u64,
+        #[serde(deserialize_with = "deserialize_items")]
         items: Vec<StoreObject>,
         /// Remaining time during which removed entries may merely have expired.
         grace_ms: Option<u64>,
@@ -75,6 +82,29 @@
     },
 }
 
+/// Deserializes the objects of a message one by one, so that one that cannot be read, such as a
+/// value of a newer build, leaves the others as they are.
+fn deserialize_items<'de, D: Deserializer<'de>>(items: D) -> Result<Vec<StoreObject>, D::Error> {
+    let items = Vec::<Value>::deserialize(items)?;
+    Ok(items.iter().filter_map(readable_item).collect())
+}
+
+/// Returns an object, or an unreadable value under its name. Returns `None` without a name.
+fn readable_item(item: &Value) -> Option<StoreObject> {
+    let reason = match item.deserialized() {
+        Ok(object) => return Some(object),
+        Err(error) => error.to_string(),
+    };
+    let fields = item.as_map()?;
+    let (_, name) = fields
+        .iter()
+        .find(|(key, _)| key.as_text() == Some("name"))?;
+    Some(StoreObject {
+        name: name.as_text()?.into(),
+        value: Some(ObjectValue::Unreadable(reason)),
+    })
+}
+
 impl fmt::Display for FeedMessage {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -95,6 +125,13 @@
     }
 }
 
+/// Returns the limits on what another host may send.
+pub(crate) fn socket_config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .max_message_size(Some(MAX_MESSAGE_BYTES))
+        .max_frame_size(Some(MAX_MESSAGE_BYTES))
+}
+
 /// Encodes a message as CBOR.
 pub(crate) fn encode(message: &FeedMessage) -> Bytes {
     let mut buf = Vec::new();
@@ -138,7 +175,8 @@
         request.uri().path().clone_into(&mut path);
         Ok(response)
     };
-    let socket = match timeout(SEND_TIMEOUT, accept_hdr_async(stream, read_path)).await {
+    let accept = accept_hdr_async_with_config(stream, read_path, Some(socket_config()));
+    let socket = match timeout(SEND_TIMEOUT, accept).await {
         Ok(Ok(socket)) => socket,
         Ok(Err(error)) => return error.to_string(),
         Err(_) => return "handshake_timeout".to_owned(),
--- a/crates/cornelwinch_relay/src/follow.rs
+++ b/crates/cornelwinch_relay/src/follow.rs
@@ -6,7 +6,7 @@
 use tokio::time::sleep;
 
 use crate::core::Shared;
-use crate::dialect::{ObjectKind, ObjectPage, StoreObject};
+use crate::dialect::{ObjectKind, ObjectPage, ObjectProblem, StoreObject};
 use crate::store::{StoreClient, StoreError};
 
 /// Time beyond its requested wait after which a watch fails.
@@ -145,12 +145,27 @@
     ingest: fn(&Shared, ObjectKind, u64, Vec<StoreObject>, Option<Duration>),
 ) -> u64 {
     let now = Instant::now();
+    log_problems(shared, kind, page.problems);
     shared.store_health.record_success(now);
     let removal_grace = shared.store_health.removal_grace(now);
     ingest(shared, kind, page.revision, page.items, removal_grace);
     page.revision
 }
 
+/// Logs what could not be decoded, once for each revision of an object. A list repeats objects of
+/// earlier revisions.
+fn log_problems(shared: &Shared, kind: ObjectKind, problems: Vec<ObjectProblem>) {
+    let mut mirror = shared.mirror.borrow_mut();
+    for problem in mirror.take_new_problems(kind, problems) {
+        log::warn!(
+            "event=object_unreadable kind={kind:?} object={:?} revision={:?} reason={:?}",
+            problem.object,
+            problem.revision,
+            problem.reason
+        );
+    }
+}
+
 async fn list(
     shared: &Shared,
     client: &mut StoreClient,
@@ -165,10 +180,18 @@
         let body = client.get(&path, STORE_CALL_TIMEOUT).await?;
         let page = (shared.dialect.store.decode_page)(kind, &body)
             .map_err(|reason| StoreError::Decode { reason })?;
+        if page.next.is_some() && page.next <= after {
+            return Err(StoreError::Decode {
+                reason: "the next page does not follow the last one".to_owned(),
+            });
+        }
         after.clone_from(&page.next);
         match &mut all {
             // A watch from the revision of the first page returns changes made while listing.
-            Some(all) => all.items.extend(page.items),
+            Some(all) => {
+                all.items.extend(page.items);
+                all.problems.extend(page.problems);
+            }
             None => all = Some(page),
         }
         if after.is_none() {
--- a/crates/cornelwinch_relay/src/headers.rs
+++ b/crates/cornelwinch_relay/src/headers.rs
@@ -52,10 +52,11 @@
         .any(|token| token.trim().eq_ignore_ascii_case("close"))
 }
 
-/// Parses a header that holds a number of milliseconds.
+/// Parses a header that holds a number of milliseconds. Returns `None` for a number that is
+/// negative or beyond the range of a [`Duration`].
 pub(crate) fn millis(headers: &HeaderMap, name: &HeaderName) -> Option<Duration> {
     let ms: f64 = headers.get(name)?.to_str().ok()?.trim().parse().ok()?;
-    (ms.is_finite() && ms >= 0.0).then(|| Duration::from_secs_f64(ms / 1_000.0))
+    Duration::try_from_secs_f64(ms / 1_000.0).ok()
 }
 
 /// Formats a duration as a header value in whole milliseconds.
--- a/crates/cornelwinch_relay/src/lib.rs
+++ b/crates/cornelwinch_relay/src/lib.rs
@@ -34,7 +34,8 @@
 mod sync;
 
 pub use dialect::{
-    Dialect, HeaderNames, ObjectKind, ObjectPage, ObjectValue, StoreApi, StoreObject, WriteRequest,
+    Dialect, HeaderNames, ObjectKind, ObjectPage, ObjectProblem, ObjectValue, StoreApi,
+    StoreObject, WriteRequest,
 };
 pub use error::RelayError;
 pub use logging::{LogHandle, open_log};
--- a/crates/cornelwinch_relay/src/mirror.rs
+++ b/crates/cornelwinch_relay/src/mirror.rs
@@ -1,17 +1,23 @@
 use cornelwinch_routing::DesiredState;
 use cornelwinch_types::{Name, SortedMap};
 
-use crate::dialect::{ObjectKind, ObjectValue, StoreObject};
+use crate::dialect::{ObjectKind, ObjectProblem, ObjectValue, StoreObject};
 
 /// Largest number of tombstones stored for a kind. When it is reached, they are discarded, and
 /// hosts with an older revision get a complete list.
 const MAX_TOMBSTONES: usize = 4_096;
 
+/// Largest number of logged problems that are remembered for a kind. When it is reached, they are
+/// discarded, and those that still exist are logged once more.
+const MAX_LOGGED_PROBLEMS: usize = 256;
+
 /// Copy of the store's objects, with the revision up to which each kind is complete. Updates with
 /// an older revision are ignored, so that a source that lags cannot undo updates from another one.
 #[derive(Debug, Default)]
 pub(crate) struct Mirror {
     kinds: SortedMap<ObjectKind, KindMirror>,
+    /// Problems that were returned by [`Mirror::take_new_problems`].
+    logged_problems: SortedMap<ObjectKind, Vec<ObjectProblem>>,
 }
 
 #[derive(Debug, Default)]
@@ -65,6 +71,27 @@
             .collect()
     }
 
+    /// Returns the problems that have not been returned before.
+    pub(crate) fn take_new_problems(
+        &mut self,
+        kind: ObjectKind,
+        problems: Vec<ObjectProblem>,
+    ) -> Vec<ObjectProblem> {
+        if problems.is_empty() {
+            return problems;
+        }
+        let logged = self
+            .logged_problems
+            .get_or_insert_with(kind, Vec::<ObjectProblem>::new);
+        let is_new = |problem: &ObjectProblem| !logged.contains(problem);
+        let new: Vec<ObjectProblem> = problems.into_iter().filter(is_new).collect();
+        if logged.len() + new.len() > MAX_LOGGED_PROBLEMS {
+            logged.clear();
+        }
+        logged.extend(new.iter().take(MAX_LOGGED_PROBLEMS).cloned());
+        new
+    }
+
     /// Returns all objects of a kind.
     pub(crate) fn items(&self, kind: ObjectKind) -> Vec<StoreObject> {
         let Some(kind_mirror) = self.kinds.get(&kind) else {
--- a/crates/cornelwinch_relay/src/pool.rs
+++ b/crates/cornelwinch_relay/src/pool.rs
@@ -12,6 +12,9 @@
 /// Idle timeout of connections whose upstream announces none.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Longest time for which an idle connection is kept, whatever its upstream announces.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// Time subtracted from an announced idle timeout, so that the next request arrives before it
 /// expires.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
@@ -71,7 +74,7 @@
     /// Returns a connection to the pool after a complete answer.
     pub(crate) fn release(&self, id: UpstreamId, sender: HttpSender, keep_alive: Option<Duration>) {
         let idle_time = keep_alive.map_or(DEFAULT_IDLE_TIMEOUT, |time| {
-            time.saturating_sub(IDLE_MARGIN)
+            time.saturating_sub(IDLE_MARGIN).min(MAX_IDLE_TIMEOUT)
         });
         let connection = Connection {
             sender,
--- a/crates/cornelwinch_relay/src/report.rs
+++ b/crates/cornelwinch_relay/src/report.rs
@@ -6,9 +6,10 @@
 use cornelwinch_routing::{source_count, source_order};
 use tokio::net::TcpStream;
 use tokio::time::{interval, timeout};
+use tokio_tungstenite::client_async_with_config;
 
 use crate::core::Shared;
-use crate::feed::{FeedMessage, REPORT_PATH, encode, send};
+use crate::feed::{FeedMessage, REPORT_PATH, encode, send, socket_config};
 
 /// Interval between two checks for crash reports. Reports have to arrive within the recovery time
 /// of a host, which is a few seconds.
@@ -62,7 +63,7 @@
     let connect = async {
         let stream = TcpStream::connect(addr).await.map_err(|e| e.to_string())?;
         let url = format!("ws://{addr}{REPORT_PATH}");
-        let (socket, _) = tokio_tungstenite::client_async(url, stream)
+        let (socket, _) = client_async_with_config(url, stream, Some(socket_config()))
             .await
             .map_err(|e| e.to_string())?;
         Ok::<_, String>(socket)
--- a/crates/cornelwinch_relay/src/subscribe.rs
+++ b/crates/cornelwinch_relay/src/subscribe.rs
@@ -4,12 +4,12 @@
 use futures_util::StreamExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
-use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::{WebSocketStream, client_async_with_config};
 
 use crate::core::Shared;
 use crate::dialect::{ObjectKind, ObjectValue, StoreObject};
-use crate::feed::{FEED_PATH, FeedMessage, HEARTBEAT_INTERVAL, encode, send};
+use crate::feed::{FEED_PATH, FeedMessage, HEARTBEAT_INTERVAL, encode, send, socket_config};
 use crate::follow::WATCH_TIMEOUT_MARGIN;
 
 /// Timeout for connecting to a source and exchanging the first messages.
@@ -57,7 +57,7 @@
                 .map_err(|_| FeedEnd::Unreachable)?;
             stream.set_nodelay(true).map_err(|_| FeedEnd::Unreachable)?;
             let url = format!("ws://{addr}{FEED_PATH}");
-            let (socket, _) = tokio_tungstenite::client_async(url, stream)
+            let (socket, _) = client_async_with_config(url, stream, Some(socket_config()))
                 .await
                 .map_err(|_| FeedEnd::Unreachable)?;
             let mut subscription = Self { socket };
--- a/crates/cornelwinch_routing/src/fleet.rs
+++ b/crates/cornelwinch_routing/src/fleet.rs
@@ -15,6 +15,9 @@
 /// choosing the same upstream at the same time.
 const SCORE_JITTER: f64 = 0.1;
 
+/// Longest time for which an upstream counts as cold after each report.
+const MAX_COLD_TIME: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// Identifier of one run of an upstream, unique within this process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct UpstreamId(u64);
@@ -141,7 +144,7 @@
     /// Adds or updates an upstream. Returns the identifier of an earlier run that the
     /// entry replaces.
     pub fn apply(&mut self, now: Instant, entry: UpstreamEntry) -> Option<UpstreamId> {
-        let cold_until = (!entry.cold_left.is_zero()).then(|| now + entry.cold_left);
+        let cold_until = cold_until(now, entry.cold_left);
         let known = self.names.get(&entry.name).copied();
         if let Some(id) = known
             && let Some(upstream) = self.upstreams.get_mut(&id)
@@ -375,7 +378,7 @@
     /// Sets the remaining cold time that an upstream reported in an answer.
     pub fn set_cold_left(&mut self, now: Instant, id: UpstreamId, left: Duration) {
         if let Some(upstream) = self.upstreams.get_mut(&id) {
-            upstream.cold_until = (!left.is_zero()).then(|| now + left);
+            upstream.cold_until = cold_until(now, left);
         }
     }
 
@@ -403,6 +406,10 @@
     }
 }
 
+fn cold_until(now: Instant, left: Duration) -> Option<Instant> {
+    (!left.is_zero()).then(|| now + left.min(MAX_COLD_TIME))
+}
+
 impl Upstream {
     fn takes_requests(&self, now: Instant, evacuated: &[Name]) -> bool {
         self.entry.state == UpstreamState::Ready
--- a/crates/cornelwinch_types/src/lib.rs
+++ b/crates/cornelwinch_types/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod fingerprint;
 mod id;
+mod json;
 mod leg;
 mod member;
 mod outcome;
@@ -12,6 +13,7 @@
 
 pub use fingerprint::Fingerprint;
 pub use id::{AttemptId, Incarnation, Name, QueryId, Revision, SnapshotId};
+pub use json::JsonText;
 pub use leg::{Hit, LegAnswer, LegFailure, LegRequest, LegResult, Refusal, UpstreamObservation};
 pub use member::{Member, MemberState};
 pub use outcome::Outcome;
