Bound answers, and leave upstreams alone that leave or want a rest

Cause: nothing bounded what an upstream, the store or another host sends besides the body of one answer (16 MiB for a leg, none for the store). Server-Leaving and Retry-After of upstreams were not read.

Change: ReadLimit ends a connection that sends more than 256 KiB of head and framing beside three bytes for each byte of a body. A part may have 64 times the records of the route's answer (256 KiB at least), another answer 16 MiB, a store answer 8 MiB; answers above 64 KiB share a quarter of the process's memory (new setting memory_mb, 256 by default). An upstream that exceeds a bound is held back for 2 s, doubling to 60 s. An upstream that says it leaves gets nothing more in that run, one that asks for a rest nothing until its end, probes and last resorts included, also when its entry lapses and returns. A request that resting upstreams keep from being served is refused at once with the time at which enough of them are back. Hosts do not tell each other.

--- a/crates/cornelwinch_daemon/src/upstream.rs
+++ b/crates/cornelwinch_daemon/src/upstream.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use cornelwinch_http::{HttpSender, connect};
+use cornelwinch_http::{HttpConnection, connect};
 use cornelwinch_types::{
     AttemptId, LegFailure, LegRequest, LegResult, Name, Refusal, UpstreamObservation,
 };
@@ -37,6 +37,9 @@
 /// Largest answer of one leg that is read.
 const ANSWER_LIMIT_BYTES: usize = 16 << 20;
 
+/// Bytes of a connection that are read for one answer, head and framing included.
+const ANSWER_READ_BYTES: usize = ANSWER_LIMIT_BYTES + (4 << 20);
+
 /// Legs per slot that may be open at once, sent or waiting. The owner's limiter
 /// keeps those in flight within the slots, so hardly any waits.
 const OPEN_PER_SLOT: usize = 3;
@@ -218,10 +221,10 @@
     target: Arc<Target>,
     host: HeaderValue,
     slots: Semaphore,
-    idle: RefCell<Vec<HttpSender>>,
+    idle: RefCell<Vec<HttpConnection>>,
     /// Cancellations use a connection of their own; otherwise a busy upstream
     /// would receive them after the answers they are meant to stop.
-    control: Mutex<Option<HttpSender>>,
+    control: Mutex<Option<HttpConnection>>,
 }
 
 async fn serve(mut work: mpsc::UnboundedReceiver<(Instant, Work)>) {
@@ -270,7 +273,7 @@
         }
     }
 
-    async fn connect(&self) -> std::io::Result<HttpSender> {
+    async fn connect(&self) -> std::io::Result<HttpConnection> {
         connect(&self.target.name, self.target.addr, CONNECT_TIMEOUT).await
     }
 
@@ -316,10 +319,10 @@
         loop {
             let idle = self.idle.borrow_mut().pop();
             let is_new = idle.is_none();
-            let mut sender = match idle {
-                Some(sender) => sender,
+            let mut connection = match idle {
+                Some(connection) => connection,
                 None => match self.connect().await {
-                    Ok(sender) => sender,
+                    Ok(connection) => connection,
                     Err(error) => {
                         log::debug!(
                             "event=connect_failed peer={} reason=\"{error}\"",
@@ -329,11 +332,12 @@
                     }
                 },
             };
-            if sender.ready().await.is_err() && !is_new {
+            if connection.sender.ready().await.is_err() && !is_new {
                 continue;
             }
             sent.set(true);
-            let response = match sender.try_send_request(request).await {
+            connection.read_limit.allow(ANSWER_READ_BYTES);
+            let response = match connection.sender.try_send_request(request).await {
                 Ok(response) => response,
                 Err(mut error) => match error.take_message() {
                     // Nothing was written; an idle connection had ended.
@@ -354,7 +358,7 @@
             let result = read_result(leg, status, &body.to_bytes(), signs);
             // Another answer may follow on the connection of a mismatched one.
             if result != LegResult::Failed(LegFailure::Mismatched) {
-                self.idle.borrow_mut().push(sender);
+                self.idle.borrow_mut().push(connection);
             }
             return result;
         }
@@ -380,20 +384,22 @@
         let mut kept = self.control.lock().await;
         let idle = kept.take();
         let exchange = async {
-            let mut sender = match idle {
-                Some(sender) if !sender.is_closed() => sender,
+            let mut connection = match idle {
+                Some(connection) if !connection.sender.is_closed() => connection,
                 _ => self.connect().await.map_err(|error| error.to_string())?,
             };
+            connection.read_limit.allow(ANSWER_READ_BYTES);
+            let sender = &mut connection.sender;
             sender.ready().await.map_err(|error| error.to_string())?;
             let response = sender.send_request(request);
             let response = response.await.map_err(|error| error.to_string())?;
             let body = Limited::new(response.into_body(), ANSWER_LIMIT_BYTES);
             let body = body.collect().await.map_err(|error| error.to_string())?;
-            Ok::<_, String>((sender, body.to_bytes()))
+            Ok::<_, String>((connection, body.to_bytes()))
         };
         let error = match timeout(CONTROL_TIMEOUT, exchange).await {
-            Ok(Ok((sender, body))) => {
-                *kept = Some(sender);
+            Ok(Ok((connection, body))) => {
+                *kept = Some(connection);
                 return Some(body);
             }
             Ok(Err(error)) => error,
--- a/crates/cornelwinch_http/src/client.rs
+++ b/crates/cornelwinch_http/src/client.rs
@@ -9,12 +9,23 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::read_limit::{LimitedStream, ReadLimit};
+
 /// Bound on the heads of answers in bytes.
 const ANSWER_HEAD_BYTES: usize = 64 * 1024;
 
-/// One connection to a server, for one request at a time.
+/// Sends requests on one connection, one at a time.
 pub type HttpSender = SendRequest<Full<Bytes>>;
 
+/// One connection to a server.
+#[derive(Debug)]
+pub struct HttpConnection {
+    /// Sends requests.
+    pub sender: HttpSender,
+    /// Bound on what the server may send; there is none until one is set.
+    pub read_limit: ReadLimit,
+}
+
 /// Opens a connection to a server. A local task drives it until the sender is
 /// dropped; `peer` stands in its log lines.
 ///
@@ -26,8 +37,9 @@
 /// # let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
 /// # tokio::task::LocalSet::new().block_on(&runtime, async {
 /// let wait = std::time::Duration::from_secs(1);
-/// let mut sender = cornelwinch_http::connect("a-1", addr, wait).await?;
-/// let response = sender.send_request(hyper::Request::default()).await.unwrap();
+/// let mut connection = cornelwinch_http::connect("a-1", addr, wait).await?;
+/// connection.read_limit.allow(64 * 1024);
+/// let response = connection.sender.send_request(hyper::Request::default()).await.unwrap();
 /// assert_eq!(response.status(), 204);
 /// # Ok::<(), std::io::Error>(())
 /// # }).unwrap();
@@ -40,11 +52,16 @@
 /// # Panics
 ///
 /// Panics outside a [`LocalSet`](tokio::task::LocalSet).
-pub async fn connect(peer: &str, addr: SocketAddr, wait: Duration) -> io::Result<HttpSender> {
+pub async fn connect(peer: &str, addr: SocketAddr, wait: Duration) -> io::Result<HttpConnection> {
     let stream = timeout(wait, TcpStream::connect(addr))
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     stream.set_nodelay(true)?;
+    let read_limit = ReadLimit::new();
+    let stream = LimitedStream {
+        stream,
+        limit: read_limit.clone(),
+    };
     let (sender, driver) = http1::Builder::new()
         .max_buf_size(ANSWER_HEAD_BYTES)
         .handshake(TokioIo::new(stream))
@@ -56,5 +73,5 @@
             log::debug!("event=connection_ended peer={peer} reason=\"{error}\"");
         }
     });
-    Ok(sender)
+    Ok(HttpConnection { sender, read_limit })
 }
--- a/crates/cornelwinch_http/src/lib.rs
+++ b/crates/cornelwinch_http/src/lib.rs
@@ -10,12 +10,14 @@
 mod error;
 mod exchange;
 mod head;
+mod read_limit;
 mod request;
 mod responder;
 mod thread;
 
-pub use client::{HttpSender, connect};
+pub use client::{HttpConnection, HttpSender, connect};
 pub use error::HttpError;
+pub use read_limit::ReadLimit;
 pub use request::HttpRequest;
 pub use responder::Responder;
 pub use thread::{HttpLimits, HttpServer, HttpThread, bind};
--- a/crates/cornelwinch_relay/src/answer.rs
+++ b/crates/cornelwinch_relay/src/answer.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -11,6 +11,20 @@
 /// Value of `Retry-After` for requests that were not run.
 const RETRY_AFTER_TIME: Duration = Duration::from_millis(50);
 
+/// Returns the refusal of a request that no upstream takes: with the time at which enough of them
+/// have rested, if that is all that they lack.
+pub(crate) fn unserved(
+    end_of_rest: Option<Instant>,
+    now: Instant,
+    resting: &'static str,
+    unserved: &'static str,
+) -> Reply {
+    match end_of_rest {
+        Some(end) => Reply::not_run_for(resting, end.saturating_duration_since(now)),
+        None => Reply::not_run(unserved),
+    }
+}
+
 /// Outcome of a request in the log and the metrics.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Outcome {
@@ -75,8 +89,16 @@
 
     /// Creates the reply to a request that did not run and never will. The caller may retry.
     pub(crate) fn not_run(reason: &'static str) -> Self {
+        Self::not_run_for(reason, RETRY_AFTER_TIME)
+    }
+
+    /// Creates the reply to a request that did not run and never will, with the time after which
+    /// the caller may retry.
+    pub(crate) fn not_run_for(reason: &'static str, time: Duration) -> Self {
         let mut reply = Self::error(StatusCode::SERVICE_UNAVAILABLE, Outcome::NotRun, reason);
-        let seconds = format!("{:.3}", RETRY_AFTER_TIME.as_secs_f64());
+        // Rounded up, so that a caller does not return before the time.
+        let millis = time.as_micros().div_ceil(1_000);
+        let seconds = format!("{}.{:03}", millis / 1_000, millis % 1_000);
         let value = HeaderValue::from_str(&seconds).expect("digits are a valid value");
         reply
             .response
--- a/crates/cornelwinch_relay/src/core.rs
+++ b/crates/cornelwinch_relay/src/core.rs
@@ -11,6 +11,7 @@
 use cornelwinch_types::{Name, SortedMap};
 use tokio::sync::{broadcast, watch};
 
+use crate::answer_memory::AnswerMemory;
 use crate::apply::apply_changes;
 use crate::dialect::{ObjectKind, ObjectValue, StoreObject};
 use crate::feed::{FeedMessage, encode};
@@ -69,6 +70,7 @@
 pub(crate) struct Shared {
     pub(crate) core: RefCell<Core>,
     pub(crate) pool: Pool,
+    pub(crate) answer_memory: AnswerMemory,
     pub(crate) dialect: Dialect,
     pub(crate) settings: RefCell<RelaySettings>,
     /// Time at which the remaining requests are answered as timed out; set once the host is asked
@@ -111,6 +113,7 @@
                 median_leg_time: SortedMap::new(),
             }),
             pool: Pool::default(),
+            answer_memory: AnswerMemory::new(settings.answer_memory()),
             dialect,
             settings: RefCell::new(settings),
             stop_at: Cell::new(None),
@@ -425,6 +428,21 @@
         plan.shards.iter().filter(is_available).count() >= plan.min_parts()
     }
 
+    /// Returns the time at which enough shards for an answer are available again, if those that
+    /// are missing only rest.
+    pub(crate) fn end_of_rest(&self, now: Instant, plan: &GatherPlan) -> Option<Instant> {
+        let is_unavailable = |shard: &&Name| !self.fleet.has_available_upstream(now, shard);
+        let away: Vec<&Name> = plan.shards.iter().filter(is_unavailable).collect();
+        let available = plan.shards.len() - away.len();
+        let needed = plan.min_parts().saturating_sub(available);
+        let mut ends: Vec<Instant> = away
+            .iter()
+            .filter_map(|shard| self.fleet.end_of_rest(now, shard))
+            .collect();
+        ends.sort_unstable();
+        ends.get(needed.checked_sub(1)?).copied()
+    }
+
     /// Selects the service for the next request of a weighted split.
     pub(crate) fn next_of_split(&mut self, route: &Route, parts: &[(Name, u32)]) -> Option<Name> {
         self.split_round_robins
--- a/crates/cornelwinch_relay/src/dialect.rs
+++ b/crates/cornelwinch_relay/src/dialect.rs
@@ -28,6 +28,8 @@
     pub server_stamp: HeaderName,
     /// Set by an upstream that did not run the request and never will.
     pub not_executed: HeaderName,
+    /// Set to `1` by an upstream that leaves, in all its answers.
+    pub leaving: HeaderName,
     /// Stamps of the parts of a gathered answer, one header value for each part.
     pub part_stamps: HeaderName,
     /// Number of shards that are missing from a gathered answer.
--- a/crates/cornelwinch_relay/src/handle.rs
+++ b/crates/cornelwinch_relay/src/handle.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use cornelwinch_routing::{RequestFingerprint, Route, RouteLookup, RouteTable, Target};
+use cornelwinch_routing::{
+    RECORD_BYTES, RequestFingerprint, Route, RouteLookup, RouteTable, Target,
+};
 use cornelwinch_types::Fingerprint;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -25,6 +27,15 @@
 /// make it into an answer, and with this deadline an upstream drops them from its queue.
 const GATHER_LEG_GOAL_RATIO: f64 = 0.92;
 
+/// Largest accepted body of an answer that is passed on as it is.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// Number of records that a part may have for each record of the gathered answer.
+const PART_RECORDS_RATIO: usize = 64;
+
+/// Size up to which a part is accepted on any route.
+const MIN_PART_BYTES: usize = 256 * 1024;
+
 /// Counts a request as active until dropped.
 struct ActiveRequestGuard<'a>(&'a Shared);
 
@@ -143,6 +154,19 @@
     }
 }
 
+/// Returns the largest body that an upstream's answer may have. Of a part, only the greatest
+/// records are used; a shard that sends many times as many is faulty.
+fn max_answer_bytes(target: &Target) -> usize {
+    match target {
+        Target::Gather(plan) => plan
+            .top
+            .saturating_mul(RECORD_BYTES)
+            .saturating_mul(PART_RECORDS_RATIO)
+            .clamp(MIN_PART_BYTES, MAX_ANSWER_BYTES),
+        Target::Service(_) | Target::Split(_) => MAX_ANSWER_BYTES,
+    }
+}
+
 /// Returns the size of a request's headers on the wire, without the request line.
 fn header_bytes(request: &Request<Incoming>) -> usize {
     const SEPARATORS: usize = ": \r\n".len();
@@ -216,6 +240,7 @@
         request_id,
         deadline,
         leg_deadline,
+        max_answer_bytes: max_answer_bytes(&route.target),
         fresh_connection: route.kind == cornelwinch_routing::RouteKind::NonIdempotent,
     });
     let shared = shared.clone();
--- a/crates/cornelwinch_relay/src/headers.rs
+++ b/crates/cornelwinch_relay/src/headers.rs
@@ -59,6 +59,15 @@
     Duration::try_from_secs_f64(ms / 1_000.0).ok()
 }
 
+/// Parses `Retry-After` as a number of seconds, which may have a fraction. Returns `None` for any
+/// other text; a number beyond the range of a [`Duration`] becomes the largest one.
+pub(crate) fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(header::RETRY_AFTER)?.to_str().ok()?;
+    let seconds: f64 = text.trim().parse().ok()?;
+    let is_number = !seconds.is_nan() && seconds >= 0.0;
+    is_number.then(|| Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+}
+
 /// Formats a duration as a header value in whole milliseconds.
 pub(crate) fn millis_value(time: Duration) -> HeaderValue {
     HeaderValue::from(u64::try_from(time.as_millis()).unwrap_or(u64::MAX))
--- a/crates/cornelwinch_relay/src/leg.rs
+++ b/crates/cornelwinch_relay/src/leg.rs
@@ -4,18 +4,19 @@
 use bytes::Bytes;
 use cornelwinch_routing::{Fleet, HealthSignal, UpstreamEndpoint};
 use cornelwinch_types::Fingerprint;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::header::{self, HeaderValue};
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 
+use crate::body::{MAX_FRAMING_BYTES, TooLarge, read_body};
 use crate::core::Shared;
-use crate::headers::{is_closing, keep_alive_timeout, millis, millis_value};
+use crate::headers::{is_closing, keep_alive_timeout, millis, millis_value, retry_after};
 
 /// Multiple of the median leg time from which a cancelled leg counts as timed out by its upstream.
 const TIMED_OUT_LATENCY_RATIO: f64 = 3.0;
 
-/// Largest accepted body of an upstream's answer.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// Reason of a leg whose upstream sent more than an answer may have.
+const OVERSIZED: &str = "oversized";
 
 /// A caller's request, prepared for sending to upstreams.
 #[derive(Debug)]
@@ -31,6 +32,8 @@
     pub(crate) deadline: Instant,
     /// Deadline that is sent to upstreams.
     pub(crate) leg_deadline: Instant,
+    /// Largest body that an upstream's answer may have.
+    pub(crate) max_answer_bytes: usize,
     /// Sends the request on a new connection that is not reused, so that the answer to an earlier
     /// request cannot arrive on it.
     pub(crate) fresh_connection: bool,
@@ -173,6 +176,13 @@
             ratio: guard.latency_ratio(),
         },
     };
+    if signal == HealthSignal::Oversized {
+        log::warn!(
+            "event=upstream_oversized id={:?} upstream={}",
+            out.request_id,
+            upstream.name
+        );
+    }
     guard.report(signal);
     outcome
 }
@@ -198,7 +208,7 @@
         }
     };
     let is_new = connection.is_new;
-    let mut sender = connection.sender;
+    let mut http = connection.http;
     // The upstream may have left, or its zone may have been evacuated, while connecting.
     if !shared
         .core
@@ -218,7 +228,8 @@
         );
     };
     shared.core.borrow_mut().metrics.legs += 1;
-    let response = match sender.try_send_request(request).await {
+    http.read_limit.allow(MAX_FRAMING_BYTES);
+    let response = match http.sender.try_send_request(request).await {
         Ok(response) => response,
         Err(mut error) => {
             if error.take_message().is_some() {
@@ -238,7 +249,9 @@
                 upstream.name,
                 error.error()
             );
-            return if error.error().is_parse() {
+            return if http.read_limit.is_exceeded() || error.error().is_parse_too_large() {
+                (LegOutcome::Lost(OVERSIZED), Some(HealthSignal::Oversized))
+            } else if error.error().is_parse() {
                 (LegOutcome::Lost("malformed"), Some(HealthSignal::Failed))
             } else {
                 (LegOutcome::Disconnected, Some(signal))
@@ -252,6 +265,9 @@
     }
     let id_matches = head.headers.get(&shared.dialect.headers.request_id) == Some(&out.request_id);
     let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+    if !is_misdirected {
+        record_withdrawal(shared, upstream, head.status, &head.headers);
+    }
     let not_run = is_misdirected
         || head
             .headers
@@ -266,16 +282,31 @@
             Some(HealthSignal::Failed),
         );
     }
-    let body = match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
+    let held = Some(shared.answer_memory.start_answer());
+    let body = match read_body(body, &http.read_limit, out.max_answer_bytes, held).await {
+        Ok(body) => body,
         Err(error) => {
             log::debug!("event=answer_cut peer={} reason=\"{error}\"", upstream.name);
-            return (LegOutcome::Lost("cut"), Some(HealthSignal::Failed));
+            let is_oversized = http.read_limit.is_exceeded() || error.is::<TooLarge>();
+            return if is_oversized {
+                (LegOutcome::Lost(OVERSIZED), Some(HealthSignal::Oversized))
+            } else {
+                (LegOutcome::Lost("cut"), Some(HealthSignal::Failed))
+            };
         }
     };
-    if !out.fresh_connection && !is_closing(&head.headers) && !sender.is_closed() {
+    let is_used_again = shared
+        .core
+        .borrow()
+        .fleet
+        .takes_requests(Instant::now(), upstream.id);
+    if is_used_again
+        && !out.fresh_connection
+        && !is_closing(&head.headers)
+        && !http.sender.is_closed()
+    {
         let keep_alive = keep_alive_timeout(&head.headers);
-        shared.pool.release(upstream.id, sender, keep_alive);
+        shared.pool.release(upstream.id, http, keep_alive);
     }
     if is_misdirected {
         return (
@@ -310,6 +341,34 @@
     (LegOutcome::Answer(answer), signal)
 }
 
+/// Records what an upstream says of itself in the head of an answer: that it leaves, or that it
+/// wants a rest.
+fn record_withdrawal(
+    shared: &Shared,
+    upstream: &UpstreamEndpoint,
+    status: StatusCode,
+    headers: &HeaderMap,
+) {
+    let fleet = &mut shared.core.borrow_mut().fleet;
+    let is_leaving = headers
+        .get(&shared.dialect.headers.leaving)
+        .is_some_and(|value| value.as_bytes().trim_ascii() == b"1");
+    if is_leaving && fleet.mark_leaving(upstream.id) {
+        log::info!("event=upstream_leaving upstream={}", upstream.name);
+        shared.pool.close(upstream.id);
+    }
+    if status == StatusCode::SERVICE_UNAVAILABLE
+        && let Some(time) = retry_after(headers)
+        && fleet.extend_rest(Instant::now(), upstream.id, time)
+    {
+        log::info!(
+            "event=upstream_resting upstream={} ms={}",
+            upstream.name,
+            time.as_millis()
+        );
+    }
+}
+
 /// Builds the request for one upstream. Returns `None` if less than 1 ms is left until the
 /// deadline.
 fn build_request(
--- a/crates/cornelwinch_relay/src/lib.rs
+++ b/crates/cornelwinch_relay/src/lib.rs
@@ -5,7 +5,9 @@
 //! of a platform are passed in as a [`Dialect`].
 
 mod answer;
+mod answer_memory;
 mod apply;
+mod body;
 mod callers;
 mod core;
 mod dialect;
--- a/crates/cornelwinch_relay/src/pool.rs
+++ b/crates/cornelwinch_relay/src/pool.rs
@@ -1,7 +1,7 @@
 use std::cell::RefCell;
 use std::time::{Duration, Instant};
 
-use cornelwinch_http::HttpSender;
+use cornelwinch_http::HttpConnection;
 use cornelwinch_routing::{UpstreamEndpoint, UpstreamId};
 use cornelwinch_types::SortedMap;
 
@@ -22,7 +22,7 @@
 /// A connection to an upstream without a request in flight.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    pub(crate) sender: HttpSender,
+    pub(crate) http: HttpConnection,
     reusable_until: Instant,
     pub(crate) is_new: bool,
 }
@@ -52,7 +52,7 @@
         let list = idle.get_mut(&id)?;
         let now = Instant::now();
         while let Some(connection) = list.pop() {
-            if connection.reusable_until > now && connection.sender.is_ready() {
+            if connection.reusable_until > now && connection.http.sender.is_ready() {
                 return Some(connection);
             }
         }
@@ -64,7 +64,7 @@
     pub(crate) async fn probe(&self, upstream: &UpstreamEndpoint) -> bool {
         match connect(upstream).await {
             Ok(connection) => {
-                self.release(upstream.id, connection.sender, None);
+                self.release(upstream.id, connection.http, None);
                 true
             }
             Err(_) => false,
@@ -72,12 +72,17 @@
     }
 
     /// Returns a connection to the pool after a complete answer.
-    pub(crate) fn release(&self, id: UpstreamId, sender: HttpSender, keep_alive: Option<Duration>) {
+    pub(crate) fn release(
+        &self,
+        id: UpstreamId,
+        http: HttpConnection,
+        keep_alive: Option<Duration>,
+    ) {
         let idle_time = keep_alive.map_or(DEFAULT_IDLE_TIMEOUT, |time| {
             time.saturating_sub(IDLE_MARGIN).min(MAX_IDLE_TIMEOUT)
         });
         let connection = Connection {
-            sender,
+            http,
             reusable_until: Instant::now() + idle_time,
             is_new: false,
         };
@@ -94,16 +99,16 @@
     pub(crate) fn prune(&self) {
         let now = Instant::now();
         self.idle.borrow_mut().retain(|_, list| {
-            list.retain(|c| c.reusable_until > now && !c.sender.is_closed());
+            list.retain(|c| c.reusable_until > now && !c.http.sender.is_closed());
             !list.is_empty()
         });
     }
 }
 
 async fn connect(upstream: &UpstreamEndpoint) -> Result<Connection, std::io::Error> {
-    let sender = cornelwinch_http::connect(&upstream.name, upstream.addr, CONNECT_TIMEOUT).await?;
+    let http = cornelwinch_http::connect(&upstream.name, upstream.addr, CONNECT_TIMEOUT).await?;
     Ok(Connection {
-        sender,
+        http,
         reusable_until: Instant::now(),
         is_new: true,
     })
--- a/crates/cornelwinch_relay/src/scatter.rs
+++ b/crates/cornelwinch_relay/src/scatter.rs
@@ -14,7 +14,7 @@
 use hyper::header::HeaderValue;
 use tokio::time::sleep_until;
 
-use crate::answer::Reply;
+use crate::answer::{Reply, unserved};
 use crate::core::Shared;
 use crate::fetch::{FetchOutcome, FetchPlan, drain_in_background, fetch, hedge_after};
 use crate::leg::OutgoingRequest;
@@ -54,7 +54,8 @@
     }
     let mut progress = GatherProgress::new(&plan);
     if !shared.core.borrow().can_gather(arrived, &plan) {
-        return Reply::not_run("shards_unserved");
+        let end_of_rest = shared.core.borrow().end_of_rest(arrived, &plan);
+        return unserved(end_of_rest, arrived, "shards_resting", "shards_unserved");
     }
     let mut shards = plan.shards.clone();
     shards.sort_unstable();
--- a/crates/cornelwinch_relay/src/settings.rs
+++ b/crates/cornelwinch_relay/src/settings.rs
@@ -12,6 +12,15 @@
 /// Timeout of a watch as a share of the recovery time `stable_ms`.
 const WATCH_TIMEOUT_RATIO: f64 = 0.7;
 
+/// Share of the process's memory that answers of upstreams may take while they are read.
+const ANSWER_MEMORY_RATIO: f64 = 0.25;
+
+/// Memory of the process if the settings state none, in MiB.
+const DEFAULT_MEMORY_MB: u64 = 256;
+
+/// Largest memory that the settings may state, in MiB.
+const MAX_MEMORY_MB: u64 = 1 << 20;
+
 /// Settings of a relay, in JSON with comments.
 ///
 /// ```
@@ -51,6 +60,9 @@
     pub store: SocketAddr,
     /// Limits that the hosts of the tier have to keep.
     pub bounds: Bounds,
+    /// Memory that the process may use, in MiB.
+    #[serde(default = "default_memory")]
+    pub memory_mb: u64,
     /// Lowest level of logged events.
     #[serde(default)]
     pub log: LogLevel,
@@ -90,7 +102,17 @@
     Debug,
 }
 
+fn default_memory() -> u64 {
+    DEFAULT_MEMORY_MB
+}
+
 impl RelaySettings {
+    /// Returns the memory for answers of upstreams in bytes.
+    pub(crate) fn answer_memory(&self) -> usize {
+        let bytes = (self.memory_mb << 20) as f64 * ANSWER_MEMORY_RATIO;
+        bytes as usize
+    }
+
     /// Reads and checks a settings file.
     ///
     /// # Errors
@@ -116,6 +138,12 @@
                 .map_err(|error| fail(error.to_string()))?;
         let settings: Self =
             serde_json::from_value(value).map_err(|error| fail(error.to_string()))?;
+        if !(1..=MAX_MEMORY_MB).contains(&settings.memory_mb) {
+            let memory = settings.memory_mb;
+            return Err(fail(format!(
+                "memory_mb must be 1 to {MAX_MEMORY_MB}, not {memory}"
+            )));
+        }
         settings.bounds.check().map_err(fail)?;
         Ok(settings)
     }
--- a/crates/cornelwinch_relay/src/single.rs
+++ b/crates/cornelwinch_relay/src/single.rs
@@ -6,7 +6,7 @@
 use cornelwinch_types::Name;
 use tokio::time::timeout_at;
 
-use crate::answer::Reply;
+use crate::answer::{Reply, unserved};
 use crate::core::Shared;
 use crate::fetch::{FetchOutcome, FetchPlan, fetch, hedge_after};
 use crate::leg::OutgoingRequest;
@@ -23,13 +23,8 @@
     fingerprint: RequestFingerprint,
 ) -> Reply {
     shared.count_request(&service);
-    if !shared
-        .core
-        .borrow()
-        .fleet
-        .has_available_upstream(Instant::now(), &service)
-    {
-        return Reply::not_run("service_unserved");
+    if let Some(reply) = refuse_unserved(&shared, &service) {
+        return reply;
     }
     let idempotent = route.kind == RouteKind::Idempotent;
     let plan = FetchPlan {
@@ -40,10 +35,29 @@
         fingerprint,
     };
     let deadline = out.deadline;
-    match timeout_at(deadline.into(), fetch(shared, out, plan)).await {
+    let service = plan.service.clone();
+    match timeout_at(deadline.into(), fetch(shared.clone(), out, plan)).await {
         Ok(FetchOutcome::Answer(answer)) => Reply::relayed(answer),
-        Ok(FetchOutcome::NotRun(reason)) => Reply::not_run(reason.as_str()),
+        Ok(FetchOutcome::NotRun(reason)) => {
+            refuse_unserved(&shared, &service).unwrap_or_else(|| Reply::not_run(reason.as_str()))
+        }
         Ok(FetchOutcome::Lost(reason)) => Reply::unknown(reason),
         Err(_) => Reply::timed_out("deadline"),
     }
 }
+
+/// Returns the refusal of a request to a service that no upstream serves now.
+fn refuse_unserved(shared: &Shared, service: &Name) -> Option<Reply> {
+    let now = Instant::now();
+    let fleet = &shared.core.borrow().fleet;
+    if fleet.has_available_upstream(now, service) {
+        return None;
+    }
+    let end_of_rest = fleet.end_of_rest(now, service);
+    Some(unserved(
+        end_of_rest,
+        now,
+        "service_resting",
+        "service_unserved",
+    ))
+}
--- a/crates/cornelwinch_relay/src/store.rs
+++ b/crates/cornelwinch_relay/src/store.rs
@@ -2,18 +2,23 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use cornelwinch_http::HttpSender;
-use http_body_util::{BodyExt, Full};
+use cornelwinch_http::HttpConnection;
+use http_body_util::Full;
 use hyper::header::{self, HeaderValue};
 use hyper::{Method, Request, StatusCode};
 use snafu::Snafu;
 use tokio::time::timeout;
 
 use crate::WriteRequest;
+use crate::body::{MAX_FRAMING_BYTES, read_body};
 
 /// Timeout for connecting to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Largest accepted body of an answer. A page of a list has about 1 MB, and so has an object; a
+/// watch may return some of them.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+
 /// Error of a call to the store.
 #[derive(Debug, Snafu)]
 pub(crate) enum StoreError {
@@ -23,6 +28,9 @@
     /// The connection failed during the call.
     #[snafu(display("step=call reason=\"{source}\""))]
     Call { source: hyper::Error },
+    /// The body of the answer broke off or was too large.
+    #[snafu(display("step=read reason=\"{reason}\""))]
+    Body { reason: String },
     /// No answer arrived in time.
     #[snafu(display("step=call reason=timeout"))]
     Timeout,
@@ -38,12 +46,15 @@
 #[derive(Debug)]
 pub(crate) struct StoreClient {
     addr: SocketAddr,
-    sender: Option<HttpSender>,
+    connection: Option<HttpConnection>,
 }
 
 impl StoreClient {
     pub(crate) fn new(addr: SocketAddr) -> Self {
-        Self { addr, sender: None }
+        Self {
+            addr,
+            connection: None,
+        }
     }
 
     /// Sends a GET request for a path and returns the body of the answer.
@@ -85,11 +96,11 @@
         let (status, body) = match result {
             Ok(Ok(answer)) => answer,
             Ok(Err(error)) => {
-                self.sender = None;
+                self.connection = None;
                 return Err(error);
             }
             Err(_) => {
-                self.sender = None;
+                self.connection = None;
                 return Err(StoreError::Timeout);
             }
         };
@@ -103,20 +114,30 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<(StatusCode, Bytes), StoreError> {
-        let mut sender = match self.sender.take() {
-            Some(sender) if !sender.is_closed() => sender,
+        let mut connection = match self.connection.take() {
+            Some(connection) if !connection.sender.is_closed() => connection,
             _ => self.connect().await?,
         };
+        connection.read_limit.allow(MAX_FRAMING_BYTES);
         let call = |source| StoreError::Call { source };
-        sender.ready().await.map_err(call)?;
-        let response = sender.send_request(request).await.map_err(call)?;
+        connection.sender.ready().await.map_err(call)?;
+        let response = connection
+            .sender
+            .send_request(request)
+            .await
+            .map_err(call)?;
         let status = response.status();
-        let body = response.into_body().collect().await.map_err(call)?;
-        self.sender = Some(sender);
-        Ok((status, body.to_bytes()))
+        let read_limit = &connection.read_limit;
+        let body = read_body(response.into_body(), read_limit, MAX_ANSWER_BYTES, None)
+            .await
+            .map_err(|error| StoreError::Body {
+                reason: error.to_string(),
+            })?;
+        self.connection = Some(connection);
+        Ok((status, body))
     }
 
-    async fn connect(&self) -> Result<HttpSender, StoreError> {
+    async fn connect(&self) -> Result<HttpConnection, StoreError> {
         cornelwinch_http::connect("store", self.addr, CONNECT_TIMEOUT)
             .await
             .map_err(|source| StoreError::Connect { source })
--- a/crates/cornelwinch_routing/src/fleet.rs
+++ b/crates/cornelwinch_routing/src/fleet.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::health::latency_ratio;
+use crate::withdrawal::Withdrawal;
 use crate::{ColdRateLimiter, HealthSignal, HostPermits, UpstreamHealth};
 
 /// Score penalty of an upstream in another zone, in typical leg times. It stands for
@@ -18,6 +19,13 @@
 /// Longest time for which an upstream counts as cold after each report.
 const MAX_COLD_TIME: Duration = Duration::from_secs(24 * 60 * 60);
 
+/// Time for which the withdrawal of a run without an entry is remembered. An entry that expired
+/// during a store outage returns within seconds of its end.
+const REMOVED_RUN_TTL: Duration = Duration::from_secs(15 * 60);
+
+/// Largest number of remembered withdrawals of runs without an entry.
+const MAX_REMOVED_RUNS: usize = 4_096;
+
 /// Identifier of one run of an upstream, unique within this process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct UpstreamId(u64);
@@ -91,6 +99,15 @@
     /// True if another upstream now uses the address. A request sent there would count
     /// as a repeat for the service of that upstream.
     is_displaced: bool,
+    withdrawal: Withdrawal,
+}
+
+/// Withdrawal of a run whose entry is gone, in case the entry returns.
+#[derive(Debug)]
+struct RemovedRun {
+    withdrawal: Withdrawal,
+    /// Set by the first cleanup after the removal.
+    forget_at: Option<Instant>,
 }
 
 /// Registered upstreams with the health that this host has observed.
@@ -102,6 +119,8 @@
     names: SortedMap<Name, UpstreamId>,
     services: SortedMap<Name, Vec<UpstreamId>>,
     evacuated: Vec<Name>,
+    /// Withdrawn runs without an entry, by name and start time.
+    removed_runs: SortedMap<(Name, u64), RemovedRun>,
     /// Division of limits among hosts; `None` if this host is the only one.
     hosts: Option<HostPermits>,
 }
@@ -158,6 +177,11 @@
             return None;
         }
         let replaced = self.remove(&entry.name);
+        let run = (entry.name.clone(), entry.born_ms);
+        let withdrawal = self
+            .removed_runs
+            .remove(&run)
+            .map_or_else(Withdrawal::default, |run| run.withdrawal);
         self.last_id += 1;
         let id = UpstreamId(self.last_id);
         self.names.insert(entry.name.clone(), id);
@@ -174,6 +198,7 @@
                 permits: None,
                 missing_until: None,
                 is_displaced: false,
+                withdrawal,
             },
         );
         replaced
@@ -186,6 +211,18 @@
         if let Some(ids) = self.services.get_mut(&upstream.entry.service) {
             ids.retain(|other| *other != id);
         }
+        let withdrawal = upstream.withdrawal;
+        if withdrawal != Withdrawal::default() && self.removed_runs.len() < MAX_REMOVED_RUNS {
+            let run = (upstream.entry.name, upstream.entry.born_ms);
+            let forget_at = None;
+            self.removed_runs.insert(
+                run,
+                RemovedRun {
+                    withdrawal,
+                    forget_at,
+                },
+            );
+        }
         Some(id)
     }
 
@@ -237,6 +274,10 @@
 
     /// Removes the missing upstreams whose time has elapsed.
     pub fn remove_expired(&mut self, now: Instant) -> Vec<UpstreamId> {
+        self.removed_runs.retain(|_, run| {
+            let forget_at = *run.forget_at.get_or_insert(now + REMOVED_RUN_TTL);
+            now < forget_at
+        });
         let expired: Vec<Name> = self
             .upstreams
             .values()
@@ -318,6 +359,41 @@
         })
     }
 
+    /// Returns the time at which the first upstream of the service has rested, if it is sound
+    /// otherwise; `None` if there is no such upstream.
+    pub fn end_of_rest(&self, now: Instant, service: &Name) -> Option<Instant> {
+        let ids = self.services.get(service)?;
+        let upstreams = ids.iter().filter_map(|id| self.upstreams.get(id));
+        upstreams
+            .filter_map(|upstream| {
+                let end = upstream.withdrawal.rest.end(now)?;
+                let is_available =
+                    upstream.takes_requests(end, &self.evacuated) && !upstream.health.is_lost();
+                is_available.then_some(end)
+            })
+            .min()
+    }
+
+    /// Records that an upstream has said that it leaves: this run gets nothing more. Returns
+    /// true the first time.
+    pub fn mark_leaving(&mut self, id: UpstreamId) -> bool {
+        let Some(upstream) = self.upstreams.get_mut(&id) else {
+            return false;
+        };
+        !std::mem::replace(&mut upstream.withdrawal.is_leaving, true)
+    }
+
+    /// Records that an upstream has asked for a rest: it gets nothing more for `time`. Returns
+    /// true if it was not resting.
+    pub fn extend_rest(&mut self, now: Instant, id: UpstreamId, time: Duration) -> bool {
+        let Some(upstream) = self.upstreams.get_mut(&id) else {
+            return false;
+        };
+        let is_new = upstream.withdrawal.rest.end(now).is_none();
+        upstream.withdrawal.rest.extend(now, time);
+        is_new
+    }
+
     /// Reports whether a leg may be sent to this run of an upstream.
     pub fn takes_requests(&self, now: Instant, id: UpstreamId) -> bool {
         self.upstreams
@@ -370,7 +446,12 @@
     /// Records the end of a leg.
     pub fn leg_ended(&mut self, now: Instant, id: UpstreamId, token: u64, signal: HealthSignal) {
         if let Some(upstream) = self.upstreams.get_mut(&id) {
-            upstream.is_displaced |= signal == HealthSignal::Misdirected;
+            match signal {
+                HealthSignal::Misdirected => upstream.is_displaced = true,
+                HealthSignal::Oversized => upstream.withdrawal.faults.record_fault(now),
+                HealthSignal::Answered { .. } => upstream.withdrawal.faults.record_answer(),
+                _ => {}
+            }
             upstream.health.leg_ended(now, token, signal);
         }
     }
@@ -391,7 +472,7 @@
     pub fn describe(&self, now: Instant) -> Vec<String> {
         let line = |u: &Upstream| {
             format!(
-                "upstream={} service={} zone={} state={:?} score={:.2} in_flight={} lost={} cold={}",
+                "upstream={} service={} zone={} state={:?} score={:.2} in_flight={} lost={} cold={} leaving={} rest_ms={} faulty={}",
                 u.entry.name,
                 u.entry.service,
                 u.entry.zone,
@@ -400,6 +481,12 @@
                 u.health.in_flight(),
                 u.health.is_lost(),
                 u.is_cold(now),
+                u.withdrawal.is_leaving,
+                u.withdrawal
+                    .rest
+                    .end(now)
+                    .map_or(0, |end| (end - now).as_millis()),
+                u.withdrawal.faults.is_held(now),
             )
         };
         self.upstreams.values().map(line).collect()
@@ -414,6 +501,7 @@
     fn takes_requests(&self, now: Instant, evacuated: &[Name]) -> bool {
         self.entry.state == UpstreamState::Ready
             && !self.is_displaced
+            && !self.withdrawal.is_withdrawn(now)
             && self.missing_until.is_none_or(|until| now < until)
             && evacuated.binary_search(&self.entry.zone).is_err()
     }
--- a/crates/cornelwinch_routing/src/health.rs
+++ b/crates/cornelwinch_routing/src/health.rs
@@ -45,6 +45,8 @@
     Misdirected,
     /// The answer was malformed or an error, or the connection broke.
     Failed,
+    /// The answer was larger than it may be.
+    Oversized,
     /// No connection could be made.
     Unreachable,
     /// No answer arrived before the leg was abandoned.
@@ -113,7 +115,7 @@
                 self.mark_reachable();
                 self.sample(now, REFUSED_SAMPLE, SAMPLE_WEIGHT);
             }
-            HealthSignal::Failed => {
+            HealthSignal::Failed | HealthSignal::Oversized => {
                 self.sample(now, FAILED_SAMPLE, SAMPLE_WEIGHT);
             }
             HealthSignal::Unreachable => {
--- a/crates/cornelwinch_routing/src/lib.rs
+++ b/crates/cornelwinch_routing/src/lib.rs
@@ -15,6 +15,7 @@
 mod sources;
 mod table;
 mod top_k;
+mod withdrawal;
 
 pub use budget::{RepeatKind, RetryBudget, RetryBudgetConfig, RetryBudgetUsage};
 pub use change::DesiredStateDelta;
@@ -31,3 +32,4 @@
 pub use sources::{HostEntry, source_count, source_order};
 pub use table::{RouteLookup, RouteTable};
 pub use top_k::{RECORD_BYTES, TopKMerge};
+pub use withdrawal::{FaultHold, RestPeriod};
