--- a/crates/cornelwinch_admission/src/account.rs
+++ b/crates/cornelwinch_admission/src/account.rs
@@ -9,7 +9,7 @@
 use crate::views::Views;
 use crate::{AdmissionConfig, Resource};
 
-/// Part of its own share that a host does not lend, so that a customer that
+/// Part of its own share that a host does not lend, so that an organisation that
 /// moves to it is not refused at once.
 const RESERVE: f64 = 0.01;
 /// Tokens below which a host that is running out asks for more.
@@ -33,10 +33,10 @@
     pub(crate) longest: Duration,
 }
 
-/// State of one customer on this host.
+/// State of one organisation on this host.
 #[derive(Debug, Clone)]
 pub(crate) struct Account {
-    pub(crate) customer: Name,
+    pub(crate) organisation: Name,
     pub(crate) home: Name,
     pub(crate) limits: Limits,
     pub(crate) bucket: Bucket,
@@ -47,18 +47,18 @@
 }
 
 impl Account {
-    /// An account of a customer that this host has not seen before. Its bucket
+    /// An account of an organisation that this host has not seen before. Its bucket
     /// holds what the share has collected since `since`.
     pub(crate) fn open(
         now: Instant,
         since: Instant,
-        customer: Name,
+        organisation: Name,
         limits: Limits,
         views: &Views,
     ) -> Self {
         let mut account = Self {
-            home: views.home(&customer).clone(),
-            customer,
+            home: views.home(&organisation).clone(),
+            organisation,
             limits,
             bucket: Bucket::open(since),
             demand: Demand::open(now),
@@ -79,7 +79,7 @@
             self.epoch = views.epoch();
             self.limits = limits;
             self.set_shares(views);
-            self.home = views.home(&self.customer).clone();
+            self.home = views.home(&self.organisation).clone();
             // The share changed at some time since the last call, so the lower
             // one counts for the whole time.
             let new = self.rate.ledger.own();
@@ -209,7 +209,7 @@
 
     fn set_shares(&mut self, views: &Views) {
         let rate = views.share(self.limits.size.rate);
-        let slots = views.whole_share(&self.customer, self.limits.concurrency);
+        let slots = views.whole_share(&self.organisation, self.limits.concurrency);
         self.rate.ledger.set_own(rate);
         self.slots.ledger.set_own(f64::from(slots));
     }
--- a/crates/cornelwinch_admission/src/admission.rs
+++ b/crates/cornelwinch_admission/src/admission.rs
@@ -23,7 +23,7 @@
     pub loan: Duration,
     /// Duration of a grant by the home host; shorter than a loan.
     pub grant: Duration,
-    /// Least time between two requests for the same customer and resource.
+    /// Least time between two requests for the same organisation and resource.
     pub interval: Duration,
     /// Hosts that the home host asks at once.
     pub width: usize,
@@ -58,15 +58,15 @@
 pub enum Credential<'a> {
     /// Bearer token of a request.
     Token(&'a str),
-    /// Name of a customer that was identified before.
-    Customer(&'a str),
+    /// Name of an organisation that was identified before.
+    Organisation(&'a str),
 }
 
 /// A request that may run; [`Admission::release`] ends it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Admitted {
-    /// Customer on whose behalf the request runs.
-    pub customer: Name,
+    /// Organisation on whose behalf the request runs.
+    pub organisation: Name,
     /// Class of the request, the search's default if it named none.
     pub class: Name,
     /// Policy of the class.
@@ -78,25 +78,25 @@
 /// Reason why a request is refused; it has not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Rejection {
-    /// No customer with a plan has the token or name.
-    UnknownCustomer,
-    /// The customer's plan does not include the search, or there is none.
+    /// No organisation with a plan has the token or name.
+    UnknownOrganisation,
+    /// The organisation's plan does not include the search, or there is none.
     SearchNotAllowed,
     /// The search does not have the class.
     UnknownClass,
-    /// The customer's rate is used up on this host.
+    /// The organisation's rate is used up on this host.
     RateExceeded {
         /// Time after which a repetition may succeed.
         retry_after: Duration,
     },
-    /// The customer has too many requests in progress.
+    /// The organisation has too many requests in progress.
     ConcurrencyExceeded,
 }
 
-/// Admits customers' requests within their plans.
+/// Admits organisations' requests within their plans.
 ///
 /// A plan's rate R, burst B and concurrency K hold over all hosts. Each of N
-/// hosts has an equal share of both. The customer's home host, the first by
+/// hosts has an equal share of both. The organisation's home host, the first by
 /// rendezvous hash, borrows idle shares for a short time and grants them to
 /// hosts that ask. A lender does not use what it lent until the loan ends.
 ///
@@ -124,7 +124,7 @@
 /// admission.set_config(&ConfigState::default());
 /// admission.set_hosts(now, &["host-1".into(), "host-2".into()]);
 /// let result = admission.admit(now, Credential::Token("secret"), "portal", None, 1.0);
-/// assert_eq!(result, Err(Rejection::UnknownCustomer));
+/// assert_eq!(result, Err(Rejection::UnknownOrganisation));
 /// ```
 #[derive(Debug, Clone)]
 pub struct Admission {
@@ -133,11 +133,11 @@
     rng: fastrand::Rng,
     last_id: u64,
     views: Views,
-    /// Only classes, searches, plans and customers.
+    /// Only classes, searches, plans and organisations.
     config: ConfigState,
     /// Time after a change of hosts at which no loan made before it runs.
     settling: Duration,
-    /// By customer.
+    /// By organisation.
     accounts: Vec<Account>,
     /// No request is due before this time. It may be too early, but saves
     /// going through all accounts on every turn of the event loop.
@@ -165,10 +165,10 @@
         }
     }
 
-    /// Takes over the customers, plans, searches and classes in force.
+    /// Takes over the organisations, plans, searches and classes in force.
     pub fn set_config(&mut self, config: &ConfigState) {
         let mut changed = Vec::new();
-        for kind in [Kind::Class, Kind::Search, Kind::Plan, Kind::Customer] {
+        for kind in [Kind::Class, Kind::Search, Kind::Plan, Kind::Organisation] {
             for entry in config.entries_of(kind) {
                 let held = self
                     .config
@@ -188,7 +188,7 @@
         self.settling = self.cfg.join_delay + 2 * self.cfg.loan + longest;
         let config = &self.config;
         self.accounts.retain(|account| {
-            account.demand.in_use() > 0 || config.customer(&account.customer).is_some()
+            account.demand.in_use() > 0 || config.organisation(&account.organisation).is_some()
         });
     }
 
@@ -199,7 +199,7 @@
     }
 
     /// Marks known hosts that cannot be reached now. They keep their share,
-    /// and another host stands in for one that is a customer's home.
+    /// and another host stands in for one that is an organisation's home.
     pub fn set_unreachable(&mut self, hosts: &[Name]) {
         self.views.set_unreachable(hosts);
     }
@@ -211,16 +211,16 @@
         self.views.is_joined()
     }
 
-    /// The home host of a customer.
-    pub fn home(&self, customer: &str) -> &Name {
-        self.views.home(customer)
+    /// The home host of an organisation.
+    pub fn home(&self, organisation: &str) -> &Name {
+        self.views.home(organisation)
     }
 
-    /// Requests of a customer in progress on this host.
-    pub fn in_use(&self, customer: &str) -> u32 {
+    /// Requests of an organisation in progress on this host.
+    pub fn in_use(&self, organisation: &str) -> u32 {
         let place = self
             .accounts
-            .binary_search_by(|account| (*account.customer).cmp(customer));
+            .binary_search_by(|account| (*account.organisation).cmp(organisation));
         place.map_or(0, |i| self.accounts[i].demand.in_use())
     }
 
@@ -239,8 +239,8 @@
     ) -> Result<Admitted, Rejection> {
         let admitted = self.authorise(credential, search, class)?;
         let cfg = self.cfg;
-        let Some(account) = self.account(now, &admitted.customer) else {
-            return Err(Rejection::UnknownCustomer);
+        let Some(account) = self.account(now, &admitted.organisation) else {
+            return Err(Rejection::UnknownOrganisation);
         };
         account.demand.offer(now, cost);
         let end = now + deadline(&admitted.policy);
@@ -269,16 +269,16 @@
     }
 
     /// Ends a request that was admitted.
-    pub fn release(&mut self, now: Instant, customer: &str) {
+    pub fn release(&mut self, now: Instant, organisation: &str) {
         let place = self
             .accounts
-            .binary_search_by(|account| (*account.customer).cmp(customer));
+            .binary_search_by(|account| (*account.organisation).cmp(organisation));
         if let Ok(i) = place {
             self.accounts[i].demand.finish(now);
         }
     }
 
-    /// Handles a message of another host. One about a customer or with an
+    /// Handles a message of another host. One about an organisation or with an
     /// amount that cannot be is ignored.
     pub fn on_message(
         &mut self,
@@ -295,7 +295,7 @@
         {
             return;
         }
-        self.with_account(now, &portion.customer, out, |account, cx| match msg {
+        self.with_account(now, &portion.organisation, out, |account, cx| match msg {
             AdmissionMsg::PullShare(portion) => account.on_pull(from, portion, cx),
             AdmissionMsg::AskGrant(portion) => account.on_ask(from, portion, cx),
             AdmissionMsg::LendShare(portion) | AdmissionMsg::Grant(portion) => {
@@ -311,10 +311,10 @@
             .accounts
             .iter()
             .filter(is_due)
-            .map(|account| account.customer.clone())
+            .map(|account| account.organisation.clone())
             .collect();
-        for customer in due {
-            self.with_account(now, &customer, out, |account, cx| {
+        for organisation in due {
+            self.with_account(now, &organisation, out, |account, cx| {
                 account.round(Resource::Rate, cx);
                 account.round(Resource::Slots, cx);
             });
@@ -340,14 +340,16 @@
         let config = &self.config;
         let found = match credential {
             Credential::Token(token) => {
-                config.customer_by_token_hash(&blake3::hash(token.as_bytes()))
+                config.organisation_by_token_hash(&blake3::hash(token.as_bytes()))
             }
-            Credential::Customer(name) => config
-                .entry(Kind::Customer, name)
-                .and_then(|entry| Some((&entry.name, config.customer(&entry.name)?))),
+            Credential::Organisation(name) => config
+                .entry(Kind::Organisation, name)
+                .and_then(|entry| Some((&entry.name, config.organisation(&entry.name)?))),
         };
-        let (customer, spec) = found.ok_or(Rejection::UnknownCustomer)?;
-        let plan = config.plan(&spec.plan).ok_or(Rejection::UnknownCustomer)?;
+        let (organisation, spec) = found.ok_or(Rejection::UnknownOrganisation)?;
+        let plan = config
+            .plan(&spec.plan)
+            .ok_or(Rejection::UnknownOrganisation)?;
         if !plan.searches.iter().any(|name| **name == *search) {
             return Err(Rejection::SearchNotAllowed);
         }
@@ -363,7 +365,7 @@
         let policy = config.class(class).ok_or(Rejection::UnknownClass)?.clone();
         let priority = plan.priority.max(policy.priority);
         Ok(Admitted {
-            customer: customer.clone(),
+            organisation: organisation.clone(),
             class: class.clone(),
             policy,
             priority,
@@ -387,18 +389,21 @@
         }
     }
 
-    /// The up-to-date account of a customer with a plan.
-    fn account(&mut self, now: Instant, customer: &Name) -> Option<&mut Account> {
+    /// The up-to-date account of an organisation with a plan.
+    fn account(&mut self, now: Instant, organisation: &Name) -> Option<&mut Account> {
         self.views.settle(now, self.settling);
-        let limits = self.limits(self.config.plan(&self.config.customer(customer)?.plan)?);
+        let limits = self.limits(
+            self.config
+                .plan(&self.config.organisation(organisation)?.plan)?,
+        );
         let i = match self
             .accounts
-            .binary_search_by(|account| account.customer.cmp(customer))
+            .binary_search_by(|account| account.organisation.cmp(organisation))
         {
             Ok(i) => i,
             Err(i) => {
                 let since = (self.opened + self.settling).min(now);
-                let account = Account::open(now, since, customer.clone(), limits, &self.views);
+                let account = Account::open(now, since, organisation.clone(), limits, &self.views);
                 self.accounts.insert(i, account);
                 i
             }
@@ -411,16 +416,16 @@
     fn with_account(
         &mut self,
         now: Instant,
-        customer: &Name,
+        organisation: &Name,
         out: &mut Vec<AdmissionAction>,
         f: impl FnOnce(&mut Account, &mut Context<'_>),
     ) {
-        if self.account(now, customer).is_none() {
+        if self.account(now, organisation).is_none() {
             return;
         }
         let place = self
             .accounts
-            .binary_search_by(|account| account.customer.cmp(customer));
+            .binary_search_by(|account| account.organisation.cmp(organisation));
         let Ok(i) = place else { return };
         let mut cx = Context {
             now,
--- a/crates/cornelwinch_admission/src/bucket.rs
+++ b/crates/cornelwinch_admission/src/bucket.rs
@@ -9,7 +9,7 @@
     filled: Instant,
 }
 
-/// Rate and burst of a customer over all hosts.
+/// Rate and burst of an organisation over all hosts.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct BucketSize {
     pub(crate) rate: f64,
--- a/crates/cornelwinch_admission/src/demand.rs
+++ b/crates/cornelwinch_admission/src/demand.rs
@@ -4,11 +4,11 @@
 const RATE_MEMORY: Duration = Duration::from_millis(300);
 /// Time constant of the estimate that decides what a host lends. A longer one
 /// keeps a host from lending in a short dip what it needs; a shorter one frees
-/// the share sooner when a customer moves away.
+/// the share sooner when an organisation moves away.
 const LENDING_MEMORY: Duration = Duration::from_millis(500);
 /// Time over which the highest number of wanted slots is remembered.
 const PEAK_WINDOW: Duration = Duration::from_millis(500);
-/// What a customer recently asked of this host, refused requests included.
+/// What an organisation recently asked of this host, refused requests included.
 #[derive(Debug, Clone)]
 pub(crate) struct Demand {
     rate: f64,
--- a/crates/cornelwinch_admission/src/exchange.rs
+++ b/crates/cornelwinch_admission/src/exchange.rs
@@ -16,7 +16,7 @@
 /// Increase of a grant that is sent before the host asks again.
 const WORTH_SENDING: f64 = 1.1;
 
-/// Loans of one resource of a customer and the requests for them.
+/// Loans of one resource of an organisation and the requests for them.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Exchange {
     pub(crate) ledger: Ledger,
@@ -207,9 +207,9 @@
         };
         exchange.asked.retain(|asked| asked.of != *of);
         exchange.asked.push(asked);
-        let customer = self.customer.clone();
+        let organisation = self.organisation.clone();
         let portion = Portion {
-            customer,
+            organisation,
             resource,
             id,
             amount,
@@ -339,7 +339,7 @@
         for claim in self.exchange(resource).claims.clone() {
             let lent = self.ledger(resource).lent_to(&claim.host, claim.id, cx.now);
             let asked = Portion {
-                customer: self.customer.clone(),
+                organisation: self.organisation.clone(),
                 resource,
                 id: claim.id,
                 amount: claim.amount,
--- a/crates/cornelwinch_admission/src/ledger.rs
+++ b/crates/cornelwinch_admission/src/ledger.rs
@@ -2,7 +2,7 @@
 
 use cornelwinch_types::Name;
 
-/// A host's part of one resource of a customer: its own share, what it has
+/// A host's part of one resource of an organisation: its own share, what it has
 /// lent to other hosts and what it has borrowed from them.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Ledger {
--- a/crates/cornelwinch_admission/src/lib.rs
+++ b/crates/cornelwinch_admission/src/lib.rs
@@ -1,4 +1,4 @@
-//! Customer plans: rates, concurrency, priority and allowed searches.
+//! Organisation plans: rates, concurrency, priority and allowed searches.
 
 mod account;
 mod admission;
--- a/crates/cornelwinch_admission/src/message.rs
+++ b/crates/cornelwinch_admission/src/message.rs
@@ -12,11 +12,12 @@
     Slots,
 }
 
-/// Part of a customer's share, in a message between hosts.
+/// Part of an organisation's share, in a message between hosts.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Portion {
-    /// Customer that the share belongs to.
-    pub customer: Name,
+    /// Organisation that the share belongs to.
+    #[serde(rename = "customer")]
+    pub organisation: Name,
     /// Rate or slots.
     pub resource: Resource,
     /// Number chosen by the asking host and echoed by the answer. It grows, and
@@ -37,7 +38,7 @@
     pub duration: Duration,
 }
 
-/// Message between hosts about customers' shares.
+/// Message between hosts about organisations' shares.
 ///
 /// A portion replaces the one lent before between the same hosts.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/crates/cornelwinch_admission/src/views.rs
+++ b/crates/cornelwinch_admission/src/views.rs
@@ -102,12 +102,12 @@
     }
 
     /// This host's part of a number of slots. What does not divide goes to the
-    /// hosts that rank first for the customer.
-    pub(crate) fn whole_share(&self, customer: &str, amount: u32) -> u32 {
+    /// hosts that rank first for the organisation.
+    pub(crate) fn whole_share(&self, organisation: &str, amount: u32) -> u32 {
         if !self.joined {
             return 0;
         }
-        let seed = xxh3_64(customer.as_bytes());
+        let seed = xxh3_64(organisation.as_bytes());
         let share = |hosts: &Vec<Name>| {
             let count = u32::try_from(hosts.len()).unwrap_or(u32::MAX);
             let rest = amount % count;
@@ -119,9 +119,9 @@
         self.sets().map(share).min().unwrap_or(0)
     }
 
-    /// The customer's home host: the reachable one that ranks first.
-    pub(crate) fn home(&self, customer: &str) -> &Name {
-        let seed = xxh3_64(customer.as_bytes());
+    /// The organisation's home host: the reachable one that ranks first.
+    pub(crate) fn home(&self, organisation: &str) -> &Name {
+        let seed = xxh3_64(organisation.as_bytes());
         let hosts = self.present.iter().filter(|host| self.is_reachable(host));
         hosts
             .max_by_key(|host| score(seed, host))
@@ -133,7 +133,7 @@
     }
 }
 
-/// Orders hosts for a customer. The hash of the host alone breaks a tie in the
+/// Orders hosts for an organisation. The hash of the host alone breaks a tie in the
 /// same way on every host.
 fn score(seed: u64, host: &str) -> (u64, u64) {
     (
--- a/crates/cornelwinch_admission/tests/network/mod.rs
+++ b/crates/cornelwinch_admission/tests/network/mod.rs
@@ -40,7 +40,7 @@
             "concurrency": concurrency, "priority": 3, "searches": ["portal"]}),
         ),
         (
-            Kind::Customer,
+            Kind::Organisation,
             "school",
             json!({"plan": "gold", "token_hash": token}),
         ),
@@ -65,7 +65,7 @@
     msg: AdmissionMsg,
 }
 
-/// Entry hosts and the load of one customer.
+/// Entry hosts and the load of one organisation.
 pub(crate) struct Network {
     pub(crate) now: Instant,
     pub(crate) names: Vec<Name>,
--- a/crates/cornelwinch_admission/tests/plan_rules.rs
+++ b/crates/cornelwinch_admission/tests/plan_rules.rs
@@ -20,7 +20,7 @@
     (admission, start + Duration::from_secs(10))
 }
 
-/// Guards against a customer that gets what its plan does not include, or the
+/// Guards against an organisation that gets what its plan does not include, or the
 /// priority of a better plan.
 #[test]
 fn plan_decides() {
@@ -35,9 +35,9 @@
         ask(TOKEN, "portal", Some("batch")).map(summary),
         Ok(("batch".to_owned(), 7))
     );
-    let named = ask(Credential::Customer("school"), "portal", None);
+    let named = ask(Credential::Organisation("school"), "portal", None);
     assert_eq!(
-        named.map(|admitted| admitted.customer.to_string()),
+        named.map(|admitted| admitted.organisation.to_string()),
         Ok("school".to_owned())
     );
     assert_eq!(ask(TOKEN, "stock", None), Err(Rejection::SearchNotAllowed));
@@ -45,9 +45,12 @@
         ask(TOKEN, "portal", Some("slow")),
         Err(Rejection::UnknownClass)
     );
-    let unknown = Err(Rejection::UnknownCustomer);
+    let unknown = Err(Rejection::UnknownOrganisation);
     assert_eq!(ask(Credential::Token("other"), "portal", None), unknown);
-    assert_eq!(ask(Credential::Customer("shop"), "portal", None), unknown);
+    assert_eq!(
+        ask(Credential::Organisation("shop"), "portal", None),
+        unknown
+    );
 }
 
 /// Guards against a slot that is never freed, and a refusal whose proposed
@@ -97,5 +100,5 @@
     state.apply(vec![entry(3, EntryValue::deleted(Kind::Plan))], Revision(3));
     admission.set_config(&state);
     let refused = admission.admit(now, TOKEN, "portal", None, 1.0);
-    assert_eq!(refused, Err(Rejection::UnknownCustomer));
+    assert_eq!(refused, Err(Rejection::UnknownOrganisation));
 }
--- a/crates/cornelwinch_admission/tests/shared_rate.rs
+++ b/crates/cornelwinch_admission/tests/shared_rate.rs
@@ -1,4 +1,4 @@
-//! A customer's rate and concurrency hold over all hosts, and can be used.
+//! An organisation's rate and concurrency hold over all hosts, and can be used.
 
 mod network;
 
--- a/crates/cornelwinch_bench/src/config.rs
+++ b/crates/cornelwinch_bench/src/config.rs
@@ -47,9 +47,9 @@
     pub search: String,
     /// Traffic class.
     pub class: String,
-    /// Customer's name, for the report only.
-    pub customer: String,
-    /// Customer's bearer token.
+    /// Organisation's name, for the report only.
+    pub organisation: String,
+    /// Organisation's bearer token.
     pub token: String,
     /// Share of the requests, relative to the other items.
     pub weight: f64,
--- a/crates/cornelwinch_bench/src/report.rs
+++ b/crates/cornelwinch_bench/src/report.rs
@@ -23,19 +23,20 @@
     pub wrong_messages: Vec<String>,
     /// All requests.
     pub total: GroupReport,
-    /// Requests by class and customer.
+    /// Requests by class and organisation.
     pub groups: Vec<GroupReport>,
     /// Requests by second of their planned time.
     pub seconds: Vec<SecondReport>,
 }
 
-/// Requests of one class and customer.
+/// Requests of one class and organisation.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct GroupReport {
     /// Traffic class.
     pub class: String,
-    /// Customer.
-    pub customer: String,
+    /// Organisation.
+    #[serde(rename = "customer")]
+    pub organisation: String,
     /// Requests planned.
     pub offered: u64,
     /// Latency of requests that were done, from their planned time.
@@ -215,7 +216,7 @@
                 f,
                 "{:<16} {:<16} {:>8} {:>9.2} {:>9.2} {:>9.2} {:>9.2} {:>9.2} {:>8.4} {:>8.4} {:>8.4} {:>7.2} {:>8} {:>8} {:>8} {:>8}",
                 group.class,
-                group.customer,
+                group.organisation,
                 group.offered,
                 ms(p50_us),
                 ms(p90_us),
--- a/crates/cornelwinch_bench/src/run.rs
+++ b/crates/cornelwinch_bench/src/run.rs
@@ -177,7 +177,7 @@
     let mut total = Tally::new();
     let mut groups: Vec<((&str, &str), Tally)> = Vec::new();
     for (item, tally) in cfg.mix.iter().zip(by_item) {
-        let key = (item.class.as_str(), item.customer.as_str());
+        let key = (item.class.as_str(), item.organisation.as_str());
         match groups.binary_search_by_key(&key, |group| group.0) {
             Ok(i) => groups[i].1.merge(tally),
             Err(i) => groups.insert(i, (key, tally)),
@@ -185,8 +185,8 @@
     }
     let groups = groups
         .into_iter()
-        .map(|((class, customer), tally)| {
-            let report = tally.report(class, customer);
+        .map(|((class, organisation), tally)| {
+            let report = tally.report(class, organisation);
             total.merge(tally);
             report
         })
--- a/crates/cornelwinch_bench/src/tally.rs
+++ b/crates/cornelwinch_bench/src/tally.rs
@@ -171,7 +171,7 @@
         &self.seconds
     }
 
-    pub(crate) fn report(&self, class: &str, customer: &str) -> GroupReport {
+    pub(crate) fn report(&self, class: &str, organisation: &str) -> GroupReport {
         let mut errors = self.errors.clone();
         errors.sort_by(|a, b| b.1.cmp(&a.1).then(a.0.cmp(&b.0)));
         let done = self.outcomes.done;
@@ -179,7 +179,7 @@
         let needed = self.attempts.saturating_sub(self.hedges);
         GroupReport {
             class: class.to_owned(),
-            customer: customer.to_owned(),
+            organisation: organisation.to_owned(),
             offered: self.outcomes.total(),
             latency: Quantiles::of(&self.done),
             refusal_latency: Quantiles::of(&self.other),
--- a/crates/cornelwinch_bench/tests/report_counts.rs
+++ b/crates/cornelwinch_bench/tests/report_counts.rs
@@ -20,7 +20,7 @@
     let item = MixItem {
         search: "portal".into(),
         class: "lookup".into(),
-        customer: "school".into(),
+        organisation: "school".into(),
         token: "secret".into(),
         weight: 1.0,
         deadline_ms: 20_000,
@@ -80,7 +80,7 @@
     assert!((total.coverage.complete - complete).abs() < 1e-9);
     assert_eq!(total.extra_load.hedges, 2 * got(1));
     assert_eq!(
-        (&*report.groups[0].class, &*report.groups[0].customer),
+        (&*report.groups[0].class, &*report.groups[0].organisation),
         ("lookup", "school")
     );
     assert_eq!(report.seconds[0].offered, sent);
--- a/crates/cornelwinch_cli/src/args.rs
+++ b/crates/cornelwinch_cli/src/args.rs
@@ -137,7 +137,7 @@
     /// Address of a host's listener for callers
     #[bpaf(argument("ADDR"))]
     pub(crate) host: SocketAddr,
-    /// File with the customer's bearer token
+    /// File with the organisation's bearer token
     #[bpaf(argument("FILE"), env("CORNELWINCH_CUSTOMER_TOKEN_FILE"))]
     pub(crate) token_file: PathBuf,
     #[bpaf(argument("NAME"))]
@@ -159,7 +159,7 @@
     /// Address of a host's listener for callers; may be repeated
     #[bpaf(argument("ADDR"), some("at least one --host is needed"))]
     pub(crate) host: Vec<SocketAddr>,
-    /// File with the customer's bearer token
+    /// File with the organisation's bearer token
     #[bpaf(argument("FILE"), env("CORNELWINCH_CUSTOMER_TOKEN_FILE"))]
     pub(crate) token_file: PathBuf,
     #[bpaf(argument("NAME"))]
--- a/crates/cornelwinch_config/src/entry.rs
+++ b/crates/cornelwinch_config/src/entry.rs
@@ -22,8 +22,9 @@
 pub enum EntryValue {
     /// What a plan may use.
     Plan(Option<PlanSpec>),
-    /// Plan and credentials of a customer.
-    Customer(Option<CustomerSpec>),
+    /// Plan and credentials of an organisation.
+    #[serde(rename = "customer")]
+    Organisation(Option<OrganisationSpec>),
     /// A search and its traffic classes.
     Search(Option<SearchSpec>),
     /// Policy of a traffic class.
@@ -65,11 +66,11 @@
     pub searches: Vec<Name>,
 }
 
-/// Plan and credentials of a customer.
+/// Plan and credentials of an organisation.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct CustomerSpec {
-    /// Name of the customer's plan.
+pub struct OrganisationSpec {
+    /// Name of the organisation's plan.
     pub plan: Name,
     /// BLAKE3 hash of the bearer token, in hexadecimal.
     pub token_hash: Name,
--- a/crates/cornelwinch_config/src/kind.rs
+++ b/crates/cornelwinch_config/src/kind.rs
@@ -19,8 +19,9 @@
     Search,
     /// What a plan may use.
     Plan,
-    /// Plan and credentials of a customer.
-    Customer,
+    /// Plan and credentials of an organisation.
+    #[serde(rename = "customer")]
+    Organisation,
     /// An availability zone.
     Zone,
     /// An upstream and its limits.
@@ -37,7 +38,7 @@
         Self::Class,
         Self::Search,
         Self::Plan,
-        Self::Customer,
+        Self::Organisation,
         Self::Zone,
         Self::Upstream,
         Self::Snapshot,
@@ -50,7 +51,7 @@
             Self::Class => "class",
             Self::Search => "search",
             Self::Plan => "plan",
-            Self::Customer => "customer",
+            Self::Organisation => "customer",
             Self::Zone => "zone",
             Self::Upstream => "upstream",
             Self::Snapshot => "snapshot",
@@ -105,7 +106,7 @@
     pub fn kind(&self) -> Kind {
         match self {
             Self::Plan(_) => Kind::Plan,
-            Self::Customer(_) => Kind::Customer,
+            Self::Organisation(_) => Kind::Organisation,
             Self::Search(_) => Kind::Search,
             Self::Class(_) => Kind::Class,
             Self::Snapshot(_) => Kind::Snapshot,
@@ -119,7 +120,7 @@
     pub fn is_deleted(&self) -> bool {
         match self {
             Self::Plan(spec) => spec.is_none(),
-            Self::Customer(spec) => spec.is_none(),
+            Self::Organisation(spec) => spec.is_none(),
             Self::Search(spec) => spec.is_none(),
             Self::Class(spec) => spec.is_none(),
             Self::Snapshot(spec) => spec.is_none(),
@@ -133,7 +134,7 @@
     pub fn deleted(kind: Kind) -> Self {
         match kind {
             Kind::Plan => Self::Plan(None),
-            Kind::Customer => Self::Customer(None),
+            Kind::Organisation => Self::Organisation(None),
             Kind::Search => Self::Search(None),
             Kind::Class => Self::Class(None),
             Kind::Snapshot => Self::Snapshot(None),
@@ -152,7 +153,7 @@
         use serde_json::from_value as read;
         Ok(match kind {
             Kind::Plan => Self::Plan(Some(read(spec)?)),
-            Kind::Customer => Self::Customer(Some(read(spec)?)),
+            Kind::Organisation => Self::Organisation(Some(read(spec)?)),
             Kind::Search => Self::Search(Some(read(spec)?)),
             Kind::Class => Self::Class(Some(read(spec)?)),
             Kind::Snapshot => Self::Snapshot(Some(read(spec)?)),
@@ -171,7 +172,7 @@
         use serde_json::to_value as write;
         match self {
             Self::Plan(spec) => write(spec),
-            Self::Customer(spec) => write(spec),
+            Self::Organisation(spec) => write(spec),
             Self::Search(spec) => write(spec),
             Self::Class(spec) => write(spec),
             Self::Snapshot(spec) => write(spec),
--- a/crates/cornelwinch_config/src/lib.rs
+++ b/crates/cornelwinch_config/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use document::{Document, DocumentEntry};
 pub use entry::{
-    ClassPolicy, CustomerSpec, Entry, EntryValue, HostSpec, PlanSpec, SearchSpec, ServiceState,
+    ClassPolicy, Entry, EntryValue, HostSpec, OrganisationSpec, PlanSpec, SearchSpec, ServiceState,
     UpstreamSpec, ZoneSpec,
 };
 pub use kind::{Kind, UnknownKind};
--- a/crates/cornelwinch_config/src/state.rs
+++ b/crates/cornelwinch_config/src/state.rs
@@ -5,7 +5,7 @@
 
 use crate::validate::check_spec;
 use crate::{
-    ClassPolicy, CustomerSpec, Entry, EntryValue, HostSpec, Kind, PlanSpec, SearchSpec,
+    ClassPolicy, Entry, EntryValue, HostSpec, Kind, OrganisationSpec, PlanSpec, SearchSpec,
     ServiceState, UpstreamSpec, ValidationError, ZoneSpec,
 };
 
@@ -35,7 +35,7 @@
 pub struct ConfigState {
     /// By kind and name.
     entries: Vec<Entry>,
-    /// Hash prefix of the token and name of each customer, ascending.
+    /// Hash prefix of the token and name of each organisation, ascending.
     tokens: Vec<(u64, Name)>,
     /// By search and descending number.
     snapshots: Vec<Snapshot>,
@@ -169,27 +169,30 @@
         }
     }
 
-    /// The customer of a name.
-    pub fn customer(&self, name: &str) -> Option<&CustomerSpec> {
-        match &self.entry(Kind::Customer, name)?.value {
-            EntryValue::Customer(spec) => spec.as_ref(),
+    /// The organisation of a name.
+    pub fn organisation(&self, name: &str) -> Option<&OrganisationSpec> {
+        match &self.entry(Kind::Organisation, name)?.value {
+            EntryValue::Organisation(spec) => spec.as_ref(),
             _ => None,
         }
     }
 
-    /// The customer whose token has the hash.
+    /// The organisation whose token has the hash.
     ///
     /// Candidates are found by a prefix of the hash and compared in constant
     /// time, so the time of a lookup tells a caller nothing about the rest of a
     /// stored hash.
-    pub fn customer_by_token_hash(&self, hash: &blake3::Hash) -> Option<(&Name, &CustomerSpec)> {
+    pub fn organisation_by_token_hash(
+        &self,
+        hash: &blake3::Hash,
+    ) -> Option<(&Name, &OrganisationSpec)> {
         let prefix = hash_prefix(hash);
         let start = self.tokens.partition_point(|(held, _)| *held < prefix);
         self.tokens[start..]
             .iter()
             .take_while(|(held, _)| *held == prefix)
             .find_map(|(_, name)| {
-                let spec = self.customer(name)?;
+                let spec = self.organisation(name)?;
                 let held = blake3::Hash::from_hex(spec.token_hash.as_bytes()).ok()?;
                 (held == *hash).then_some((name, spec))
             })
@@ -314,10 +317,13 @@
     }
 
     fn rebuild(&mut self, applied: &[Entry]) {
-        if applied.iter().any(|entry| entry.kind() == Kind::Customer) {
+        if applied
+            .iter()
+            .any(|entry| entry.kind() == Kind::Organisation)
+        {
             let mut tokens = Vec::new();
-            for entry in self.entries_of(Kind::Customer) {
-                if let EntryValue::Customer(Some(spec)) = &entry.value
+            for entry in self.entries_of(Kind::Organisation) {
+                if let EntryValue::Organisation(Some(spec)) = &entry.value
                     && let Ok(hash) = blake3::Hash::from_hex(spec.token_hash.as_bytes())
                 {
                     tokens.push((hash_prefix(&hash), entry.name.clone()));
--- a/crates/cornelwinch_config/src/validate.rs
+++ b/crates/cornelwinch_config/src/validate.rs
@@ -73,8 +73,8 @@
                 &plan.concurrency,
             )
         }
-        EntryValue::Customer(Some(customer)) => {
-            let hash = &customer.token_hash;
+        EntryValue::Organisation(Some(organisation)) => {
+            let hash = &organisation.token_hash;
             let hash_ok = blake3::Hash::from_hex(hash.as_bytes()).is_ok();
             require(hash_ok, "token_hash", "64 hexadecimal digits", hash)
         }
@@ -161,7 +161,7 @@
         EntryValue::Zone(_)
         | EntryValue::Host(_)
         | EntryValue::Plan(None)
-        | EntryValue::Customer(None)
+        | EntryValue::Organisation(None)
         | EntryValue::Search(None)
         | EntryValue::Class(None)
         | EntryValue::Upstream(None)
@@ -182,11 +182,11 @@
     });
     result?;
     match &entry.value {
-        EntryValue::Customer(Some(customer)) => {
-            let hash = blake3::Hash::from_hex(customer.token_hash.as_bytes());
+        EntryValue::Organisation(Some(organisation)) => {
+            let hash = blake3::Hash::from_hex(organisation.token_hash.as_bytes());
             let other = hash
                 .ok()
-                .and_then(|hash| state.customer_by_token_hash(&hash));
+                .and_then(|hash| state.organisation_by_token_hash(&hash));
             match other {
                 Some((name, _)) if *name != entry.name => {
                     let text = format!("customer \"{name}\" has the same token");
@@ -241,7 +241,7 @@
                 .iter()
                 .for_each(|name| f("searches", Kind::Search, name));
         }
-        EntryValue::Customer(Some(customer)) => f("plan", Kind::Plan, &customer.plan),
+        EntryValue::Organisation(Some(organisation)) => f("plan", Kind::Plan, &organisation.plan),
         EntryValue::Search(Some(search)) => {
             search
                 .classes
--- a/crates/cornelwinch_config/tests/entry_rules.rs
+++ b/crates/cornelwinch_config/tests/entry_rules.rs
@@ -40,12 +40,12 @@
             "priority": 0, "searches": ["portal"]}),
         ),
         (
-            Kind::Customer,
+            Kind::Organisation,
             "school",
             json!({"plan": "gold", "token_hash": token("a")}),
         ),
         (
-            Kind::Customer,
+            Kind::Organisation,
             "shop",
             json!({"plan": "gold", "token_hash": token("b")}),
         ),
@@ -122,9 +122,9 @@
     plan "gold": key "burst": expected an integer above 0, found 0
     plan "gold": key "concurrency": expected an integer above 0, found 0
     plan "gold": key "searches": search "stock" does not exist
-    customer "school": key "plan": plan "silver" does not exist
-    customer "school": key "token_hash": expected 64 hexadecimal digits, found 12
-    customer "school": key "token_hash": customer "shop" has the same token
+    organisation "school": key "plan": plan "silver" does not exist
+    organisation "school": key "token_hash": expected 64 hexadecimal digits, found 12
+    organisation "school": key "token_hash": organisation "shop" has the same token
     search "portal": key "classes": expected at least one class, found none
     search "portal": key "classes": class "slow" does not exist
     class "fast": key "min_coverage": expected a number from 0 to 1, found 1.01
@@ -175,7 +175,7 @@
     let find = |state: &ConfigState, token: &str| {
         let hash = blake3::hash(token.as_bytes());
         state
-            .customer_by_token_hash(&hash)
+            .organisation_by_token_hash(&hash)
             .map(|(name, _)| name.clone())
     };
     assert_eq!(find(&state, "a").as_deref(), Some("school"));
@@ -193,7 +193,7 @@
         value: EntryValue::deleted(kind),
     };
     let gone = vec![
-        deleted(Kind::Customer, "school"),
+        deleted(Kind::Organisation, "school"),
         deleted(Kind::Snapshot, "portal-10"),
     ];
     state.apply(gone, Revision(2));
--- a/crates/cornelwinch_daemon/src/actor.rs
+++ b/crates/cornelwinch_daemon/src/actor.rs
@@ -271,7 +271,7 @@
             let latency = waiting.arrived.elapsed().max(Duration::from_micros(1));
             self.adapters
                 .metrics
-                .record(&label.class, &label.customer, latency, end);
+                .record(&label.class, &label.organisation, latency, end);
         }
         callers::respond(waiting.responder, answer);
     }
--- a/crates/cornelwinch_daemon/src/callers.rs
+++ b/crates/cornelwinch_daemon/src/callers.rs
@@ -254,7 +254,7 @@
 
 fn respond_rejection(responder: Responder, rejection: &Rejection) {
     let (status, error) = match rejection {
-        Rejection::UnknownCustomer => (401, "no customer has this token"),
+        Rejection::UnknownOrganisation => (401, "no customer has this token"),
         Rejection::SearchNotAllowed => (403, "the customer's plan does not allow this search"),
         Rejection::UnknownSearch => (404, "no such search"),
         Rejection::UnknownClass => (400, "the search has no such class"),
--- a/crates/cornelwinch_daemon/src/metrics.rs
+++ b/crates/cornelwinch_daemon/src/metrics.rs
@@ -11,7 +11,7 @@
 
 const PREFIX: &str = "cornelwinch";
 
-/// Histograms kept for each of classes and customers; the names come from the
+/// Histograms kept for each of classes and organisations; the names come from the
 /// configuration, so that only a very large one reaches the limit.
 const SERIES_LIMIT: usize = 4_096;
 
@@ -19,7 +19,7 @@
 const HISTOGRAM_HIGH_US: u64 = 60_000_000;
 const HISTOGRAM_DIGITS: u8 = 2;
 
-/// Latency and coverage of one class or customer.
+/// Latency and coverage of one class or organisation.
 #[derive(Debug)]
 struct Series {
     latency_us: Histogram<u64>,
@@ -83,7 +83,7 @@
 pub(crate) struct Metrics {
     client: StatsdClient,
     classes: SortedMap<Name, Series>,
-    customers: SortedMap<Name, Series>,
+    organisations: SortedMap<Name, Series>,
 }
 
 impl Metrics {
@@ -106,7 +106,7 @@
         Ok(Self {
             client,
             classes: SortedMap::new(),
-            customers: SortedMap::new(),
+            organisations: SortedMap::new(),
         })
     }
 
@@ -120,7 +120,7 @@
     pub(crate) fn record(
         &mut self,
         class: &Name,
-        customer: &Name,
+        organisation: &Name,
         latency: Duration,
         end: RequestEnd,
     ) {
@@ -128,9 +128,12 @@
             .client
             .time_with_tags("request", latency)
             .with_tag("class", class)
-            .with_tag("customer", customer)
+            .with_tag("customer", organisation)
             .try_send();
-        for (map, name) in [(&mut self.classes, class), (&mut self.customers, customer)] {
+        for (map, name) in [
+            (&mut self.classes, class),
+            (&mut self.organisations, organisation),
+        ] {
             if map.len() >= SERIES_LIMIT && !map.contains_key(name) {
                 continue;
             }
@@ -151,7 +154,7 @@
         }
     }
 
-    /// Quantiles for each class and customer.
+    /// Quantiles for each class and organisation.
     pub(crate) fn to_json(&self) -> Value {
         let map = |map: &SortedMap<Name, Series>| -> Value {
             map.iter()
@@ -159,6 +162,6 @@
                 .collect::<serde_json::Map<String, Value>>()
                 .into()
         };
-        json!({ "classes": map(&self.classes), "customers": map(&self.customers) })
+        json!({ "classes": map(&self.classes), "customers": map(&self.organisations) })
     }
 }
--- a/crates/cornelwinch_gather/examples/hedge_tail.rs
+++ b/crates/cornelwinch_gather/examples/hedge_tail.rs
@@ -301,7 +301,7 @@
             query: QueryId(query as u64),
             search: "s".into(),
             class: "c".into(),
-            customer: "customer".into(),
+            organisation: "customer".into(),
             fingerprint: Fingerprint::of("s", &body),
             body: body.into(),
             deadline: now + Duration::from_secs(60),
--- a/crates/cornelwinch_gather/src/dispatch.rs
+++ b/crates/cornelwinch_gather/src/dispatch.rs
@@ -249,7 +249,7 @@
             query: self.spec.query,
             search: self.spec.search.clone(),
             class: self.spec.class.clone(),
-            customer: self.spec.customer.clone(),
+            organisation: self.spec.organisation.clone(),
             snapshot: snapshot.id,
             range,
             upstream,
--- a/crates/cornelwinch_gather/src/gather.rs
+++ b/crates/cornelwinch_gather/src/gather.rs
@@ -41,7 +41,7 @@
 ///     query: QueryId(1),
 ///     search: "portal".into(),
 ///     class: "desk".into(),
-///     customer: "c".into(),
+///     organisation: "c".into(),
 ///     body: "atlas".into(),
 ///     deadline: now + Duration::from_secs(1),
 ///     policy: ClassPolicy {
--- a/crates/cornelwinch_gather/src/spec.rs
+++ b/crates/cornelwinch_gather/src/spec.rs
@@ -14,8 +14,8 @@
     pub search: Name,
     /// Name of the traffic class.
     pub class: Name,
-    /// Customer on whose behalf the query runs.
-    pub customer: Name,
+    /// Organisation on whose behalf the query runs.
+    pub organisation: Name,
     /// Request body, passed to the upstreams unchanged.
     pub body: Name,
     /// Time at which the query is answered with the legs that have been merged.
--- a/crates/cornelwinch_gather/tests/common/mod.rs
+++ b/crates/cornelwinch_gather/tests/common/mod.rs
@@ -62,7 +62,7 @@
         query: QueryId(query),
         search: "portal".into(),
         class: "desk".into(),
-        customer: "customer".into(),
+        organisation: "customer".into(),
         body: body.into(),
         deadline: now + ms(policy.deadline_ms),
         policy,
--- a/crates/cornelwinch_host/src/action.rs
+++ b/crates/cornelwinch_host/src/action.rs
@@ -14,7 +14,7 @@
     Reply {
         /// Number of the caller.
         caller: u64,
-        /// Class and customer, for metrics.
+        /// Class and organisation, for metrics.
         label: RequestLabel,
         /// The answer.
         answer: CallerAnswer,
@@ -72,21 +72,21 @@
     Exit,
 }
 
-/// Class and customer of a request.
+/// Class and organisation of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RequestLabel {
     /// Traffic class; empty before it is known.
     pub class: Name,
-    /// Customer; empty before it is known.
-    pub customer: Name,
+    /// Organisation; empty before it is known.
+    pub organisation: Name,
 }
 
 impl RequestLabel {
-    /// Label of a request whose class and customer are not known.
+    /// Label of a request whose class and organisation are not known.
     pub fn none() -> Self {
         Self {
             class: "".into(),
-            customer: "".into(),
+            organisation: "".into(),
         }
     }
 }
--- a/crates/cornelwinch_host/src/claiming.rs
+++ b/crates/cornelwinch_host/src/claiming.rs
@@ -66,8 +66,12 @@
         let admitted = self.admit(now, &req.query)?;
         let label = admitted.label.clone();
         // The length makes the pair unambiguous: names may hold any character.
-        let customer = &label.customer;
-        let claim = format!("{}:{customer}/{}", customer.len(), req.idempotency_key);
+        let organisation = &label.organisation;
+        let claim = format!(
+            "{}:{organisation}/{}",
+            organisation.len(),
+            req.idempotency_key
+        );
         let id = RunId::Claim(claim.into());
         let work = self.admitted_work(now, id, req.key, req.query, admitted);
         self.claim(now, work, Waiter::Caller { caller, label }, out);
--- a/crates/cornelwinch_host/src/configuration.rs
+++ b/crates/cornelwinch_host/src/configuration.rs
@@ -217,7 +217,7 @@
             self.apply_upstreams(now, &applied.entries, out);
         }
         if changed(Kind::Plan)
-            || changed(Kind::Customer)
+            || changed(Kind::Organisation)
             || changed(Kind::Class)
             || changed(Kind::Search)
         {
@@ -284,7 +284,7 @@
         self.on_owner_output(now, owner_out, out);
     }
 
-    /// Tells admission which hosts share customers' rates: all that are not
+    /// Tells admission which hosts share organisations' rates: all that are not
     /// confirmed to be gone.
     pub(crate) fn refresh_hosts(&mut self, now: Instant) {
         let hosts: Vec<Name> = self
--- a/crates/cornelwinch_host/src/message.rs
+++ b/crates/cornelwinch_host/src/message.rs
@@ -68,7 +68,7 @@
         /// Result.
         result: TicketResult,
     },
-    /// Shares of customers' rates.
+    /// Shares of organisations' rates.
     Admission(AdmissionMsg),
     /// Requests that crash upstreams.
     Quarantine {
@@ -88,8 +88,9 @@
     pub search: Name,
     /// Traffic class.
     pub class: Name,
-    /// Customer on whose behalf the legs run.
-    pub customer: Name,
+    /// Organisation on whose behalf the legs run.
+    #[serde(rename = "customer")]
+    pub organisation: Name,
     /// Snapshot that the answers must come from.
     pub snapshot: SnapshotId,
     /// Request body.
@@ -124,7 +125,7 @@
             query: leg.query,
             search: leg.search,
             class: leg.class,
-            customer: leg.customer,
+            organisation: leg.organisation,
             snapshot: leg.snapshot,
             body: leg.body,
             idempotent: leg.idempotent,
@@ -146,7 +147,7 @@
             && self.idempotent == leg.idempotent
             && self.fingerprint == leg.fingerprint
             && self.class == leg.class
-            && self.customer == leg.customer
+            && self.organisation == leg.organisation
     }
 
     /// Adds a leg that [`LegBatch::accepts`]; the batch keeps the shorter
@@ -169,7 +170,7 @@
             query: self.query,
             search: self.search.clone(),
             class: self.class.clone(),
-            customer: self.customer.clone(),
+            organisation: self.organisation.clone(),
             snapshot: self.snapshot,
             range: item.range,
             upstream: item.upstream,
@@ -242,8 +243,9 @@
     pub request: u64,
     /// Ticket or claim.
     pub id: RunId,
-    /// Customer on whose behalf the request runs.
-    pub customer: Name,
+    /// Organisation on whose behalf the request runs.
+    #[serde(rename = "customer")]
+    pub organisation: Name,
     /// Search to run it on.
     pub search: Name,
     /// Traffic class.
--- a/crates/cornelwinch_host/src/queries.rs
+++ b/crates/cornelwinch_host/src/queries.rs
@@ -7,7 +7,7 @@
 use crate::router::LegOrigin;
 use crate::{Action, CallerAnswer, CallerRequest, Host, QueryRequest, Rejection, RequestLabel};
 
-/// Cost of one request against its customer's rate.
+/// Cost of one request against its organisation's rate.
 const REQUEST_COST: f64 = 1.0;
 
 #[derive(Debug)]
@@ -90,7 +90,7 @@
         }
     }
 
-    /// Admits a request of a customer. A request that is admitted must be
+    /// Admits a request of an organisation. A request that is admitted must be
     /// released by [`Host::release_admitted`].
     pub(crate) fn admit(
         &mut self,
@@ -118,7 +118,7 @@
         Ok(AdmittedRequest {
             label: RequestLabel {
                 class: admitted.class,
-                customer: admitted.customer,
+                organisation: admitted.organisation,
             },
             priority: admitted.priority,
             policy: admitted.policy,
@@ -127,8 +127,8 @@
     }
 
     /// Ends the admission of a request.
-    pub(crate) fn release_admitted(&mut self, now: Instant, customer: &Name) {
-        self.admission.release(now, customer);
+    pub(crate) fn release_admitted(&mut self, now: Instant, organisation: &Name) {
+        self.admission.release(now, organisation);
     }
 
     fn start_query(
@@ -143,7 +143,7 @@
         }
         let admitted = self.admit(now, &query)?;
         if !self.overload.admit(now, admitted.priority) {
-            self.release_admitted(now, &admitted.label.customer);
+            self.release_admitted(now, &admitted.label.organisation);
             return Err((admitted.label, Rejection::Overloaded));
         }
         let id = QueryId(self.queries.next);
@@ -152,7 +152,7 @@
             query: id,
             search: query.search.clone(),
             class: admitted.label.class.clone(),
-            customer: admitted.label.customer.clone(),
+            organisation: admitted.label.organisation.clone(),
             fingerprint: Fingerprint::of(&query.search, &query.body),
             body: query.body,
             deadline: admitted.deadline,
@@ -231,7 +231,7 @@
         };
         let mut actions = Vec::new();
         query.gather.cancel(now, &mut self.stats, &mut actions);
-        self.release_admitted(now, &query.label.customer);
+        self.release_admitted(now, &query.label.organisation);
         for action in actions {
             if let GatherAction::Cancel { attempt, .. } = action {
                 self.cancel_leg(now, attempt, out);
@@ -259,7 +259,7 @@
         let Some(query) = self.queries.active.remove(&id) else {
             return;
         };
-        self.release_admitted(now, &query.label.customer);
+        self.release_admitted(now, &query.label.organisation);
         if answer.missing.is_empty() {
             self.overload.on_served(now);
         } else if query.met_load {
--- a/crates/cornelwinch_host/src/request.rs
+++ b/crates/cornelwinch_host/src/request.rs
@@ -15,7 +15,7 @@
     Query(QueryRequest),
     /// Issue tickets for non-idempotent requests.
     IssueTickets {
-        /// Bearer token of the customer.
+        /// Bearer token of the organisation.
         token: String,
         /// Number of tickets.
         count: u32,
@@ -31,7 +31,7 @@
 /// A query as the caller sent it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct QueryRequest {
-    /// Bearer token of the customer.
+    /// Bearer token of the organisation.
     pub token: String,
     /// Search to run.
     pub search: Name,
@@ -88,20 +88,20 @@
 /// Why a request was refused before anything ran.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Rejection {
-    /// No customer has this token.
-    UnknownCustomer,
-    /// The customer's plan does not allow the search.
+    /// No organisation has this token.
+    UnknownOrganisation,
+    /// The organisation's plan does not allow the search.
     SearchNotAllowed,
     /// There is no such search.
     UnknownSearch,
     /// The search has no such class.
     UnknownClass,
-    /// The customer is over its rate.
+    /// The organisation is over its rate.
     RateExceeded {
         /// Time after which a request may be admitted.
         retry_after: Duration,
     },
-    /// The customer has too many requests in progress.
+    /// The organisation has too many requests in progress.
     ConcurrencyExceeded,
     /// The deadline had passed when the request arrived.
     DeadlinePassed,
@@ -114,7 +114,7 @@
 impl From<admission::Rejection> for Rejection {
     fn from(rejection: admission::Rejection) -> Self {
         match rejection {
-            admission::Rejection::UnknownCustomer => Self::UnknownCustomer,
+            admission::Rejection::UnknownOrganisation => Self::UnknownOrganisation,
             admission::Rejection::SearchNotAllowed => Self::SearchNotAllowed,
             admission::Rejection::UnknownClass => Self::UnknownClass,
             admission::Rejection::RateExceeded { retry_after } => {
--- a/crates/cornelwinch_host/src/running.rs
+++ b/crates/cornelwinch_host/src/running.rs
@@ -15,7 +15,7 @@
 pub enum RunId {
     /// A ticket.
     Ticket(TicketId),
-    /// A key of the caller; here it starts with its customer.
+    /// A key of the caller; here it starts with its organisation.
     Claim(Name),
 }
 
@@ -23,7 +23,7 @@
 #[derive(Debug)]
 pub(crate) struct Work {
     pub(crate) id: RunId,
-    pub(crate) customer: Name,
+    pub(crate) organisation: Name,
     pub(crate) search: Name,
     pub(crate) class: Name,
     pub(crate) key: u64,
@@ -42,7 +42,7 @@
         RunRequest {
             request,
             id: self.id.clone(),
-            customer: self.customer.clone(),
+            organisation: self.organisation.clone(),
             search: self.search.clone(),
             class: self.class.clone(),
             key: self.key,
@@ -162,7 +162,7 @@
             fingerprint: Fingerprint::of(&work.search, &work.body),
             search: work.search,
             class: work.class,
-            customer: work.customer,
+            organisation: work.organisation,
             snapshot,
             range,
             upstream: "".into(),
@@ -278,7 +278,7 @@
     ) {
         match waiter {
             Waiter::Caller { caller, label } => {
-                self.release_admitted(now, &label.customer);
+                self.release_admitted(now, &label.organisation);
                 out.push(Action::Reply {
                     caller,
                     label,
@@ -306,7 +306,7 @@
     ) -> Work {
         Work {
             id,
-            customer: admitted.label.customer,
+            organisation: admitted.label.organisation,
             search: query.search,
             class: admitted.label.class,
             key,
@@ -343,7 +343,7 @@
         };
         let work = Work {
             id: req.id,
-            customer: req.customer,
+            organisation: req.organisation,
             search: req.search,
             class: req.class,
             key: req.key,
--- a/crates/cornelwinch_host/src/ticketing.rs
+++ b/crates/cornelwinch_host/src/ticketing.rs
@@ -40,13 +40,13 @@
         out: &mut Vec<Action>,
     ) -> Result<(), (RequestLabel, Rejection)> {
         let token = blake3::hash(token.as_bytes());
-        let Some((customer, _)) = self.sync.state.customer_by_token_hash(&token) else {
-            return Err((RequestLabel::none(), Rejection::UnknownCustomer));
+        let Some((organisation, _)) = self.sync.state.organisation_by_token_hash(&token) else {
+            return Err((RequestLabel::none(), Rejection::UnknownOrganisation));
         };
-        let customer = customer.clone();
+        let organisation = organisation.clone();
         let label = RequestLabel {
             class: "".into(),
-            customer,
+            organisation,
         };
         let tickets = self.ticketing.tickets.issue(now, count as usize);
         if tickets.is_empty() {
--- a/crates/cornelwinch_host/tests/fake/search.rs
+++ b/crates/cornelwinch_host/tests/fake/search.rs
@@ -1,5 +1,5 @@
 use cornelwinch_config::{
-    ClassPolicy, CustomerSpec, EntryValue, PlanSpec, SearchSpec, ServiceState, UpstreamSpec,
+    ClassPolicy, EntryValue, OrganisationSpec, PlanSpec, SearchSpec, ServiceState, UpstreamSpec,
 };
 use cornelwinch_types::{
     KeyRange, LegAnswer, LegRequest, LegResult, Name, Shard, Snapshot, SnapshotId,
@@ -69,10 +69,10 @@
             searches: vec![name()],
         };
         self.put("portal", EntryValue::Plan(Some(plan)));
-        let customer = CustomerSpec {
+        let organisation = OrganisationSpec {
             plan: name(),
             token_hash: blake3::hash(b"token").to_hex().as_str().into(),
         };
-        self.put("portal", EntryValue::Customer(Some(customer)));
+        self.put("portal", EntryValue::Organisation(Some(organisation)));
     }
 }
--- a/crates/cornelwinch_lab/src/caller.rs
+++ b/crates/cornelwinch_lab/src/caller.rs
@@ -68,7 +68,7 @@
 }
 
 impl Caller {
-    /// A caller that asks for `search` as the customer with this token.
+    /// A caller that asks for `search` as the organisation with this token.
     pub fn new(host: SocketAddr, search: &str, token: String) -> Self {
         Self {
             host,
--- a/crates/cornelwinch_lab/src/deployment.rs
+++ b/crates/cornelwinch_lab/src/deployment.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use cornelwinch_config::{
-    CustomerSpec, EntryValue, PlanSpec, SearchSpec, ServiceState, UpstreamSpec, ZoneSpec,
+    EntryValue, OrganisationSpec, PlanSpec, SearchSpec, ServiceState, UpstreamSpec, ZoneSpec,
 };
 use cornelwinch_standins::document_count;
 use cornelwinch_standins::platform::{
@@ -28,7 +28,7 @@
 const OPERATOR_TOKEN: &str = "operator";
 
 /// Longest time for a host to become ready; a new host waits about 5 s before
-/// it has a share of the customers' rates.
+/// it has a share of the organisations' rates.
 const READY_LIMIT: Duration = Duration::from_secs(30);
 
 /// First snapshot of every search.
@@ -110,7 +110,7 @@
         self.hosts.iter().map(HostProcess::caller).collect()
     }
 
-    /// Bearer token of the customer of a class.
+    /// Bearer token of the organisation of a class.
     pub fn token(class: &str) -> String {
         format!("token-{class}")
     }
@@ -258,13 +258,13 @@
         let snapshot_name = format!("{name}.{FIRST_SNAPSHOT}");
         self.put(&snapshot_name, &EntryValue::Snapshot(Some(snapshot)))?;
         for (class, policy) in &all {
-            self.put_customer(class, name, policy.priority)?;
+            self.put_organisation(class, name, policy.priority)?;
         }
         Ok(())
     }
 
-    /// Writes a customer and its plan, both named as its class.
-    fn put_customer(&self, class: &Name, search: &Name, priority: u8) -> Result<(), LabError> {
+    /// Writes an organisation and its plan, both named as its class.
+    fn put_organisation(&self, class: &Name, search: &Name, priority: u8) -> Result<(), LabError> {
         let plan = PlanSpec {
             rate_per_s: self.shape.rate_per_s,
             burst: 10_000,
@@ -274,11 +274,11 @@
         };
         self.put(class, &EntryValue::Plan(Some(plan)))?;
         let token = blake3::hash(Self::token(class).as_bytes());
-        let customer = CustomerSpec {
+        let organisation = OrganisationSpec {
             plan: class.clone(),
             token_hash: token.to_hex().as_str().into(),
         };
-        self.put(class, &EntryValue::Customer(Some(customer)))?;
+        self.put(class, &EntryValue::Organisation(Some(organisation)))?;
         Ok(())
     }
 
--- a/crates/cornelwinch_lab/src/shape.rs
+++ b/crates/cornelwinch_lab/src/shape.rs
@@ -7,7 +7,7 @@
 /// One search of a deployment.
 #[derive(Debug, Clone)]
 pub struct SearchShape {
-    /// Name of the search, of its class and of its customer.
+    /// Name of the search, of its class and of its organisation.
     pub name: Name,
     /// Number of shards.
     pub shards: u32,
@@ -27,7 +27,7 @@
     pub cold: ColdStart,
     /// Policy of the search's class.
     pub policy: ClassPolicy,
-    /// Further classes, each with a customer of the same name.
+    /// Further classes, each with an organisation of the same name.
     pub classes: Vec<(Name, ClassPolicy)>,
 }
 
@@ -48,9 +48,9 @@
     pub balancer_delay: Duration,
     /// Time after which a shutdown cuts requests.
     pub drain_limit: Duration,
-    /// Requests per second of each customer.
+    /// Requests per second of each organisation.
     pub rate_per_s: f64,
-    /// Requests in progress of each customer.
+    /// Requests in progress of each organisation.
     pub concurrency: u32,
     /// Sends legs directly from every host, as a baseline.
     pub direct: bool,
--- a/crates/cornelwinch_limiter/examples/shared_legs.rs
+++ b/crates/cornelwinch_limiter/examples/shared_legs.rs
@@ -40,7 +40,7 @@
         query: QueryId(attempt),
         search: "portal".into(),
         class: "interactive".into(),
-        customer: "school".into(),
+        organisation: "school".into(),
         snapshot: SnapshotId(1),
         range: KeyRange { start: 0, end: 100 },
         upstream: "leaf-1".into(),
--- a/crates/cornelwinch_limiter/src/limiter.rs
+++ b/crates/cornelwinch_limiter/src/limiter.rs
@@ -37,7 +37,7 @@
 ///     query: QueryId(1),
 ///     search: "portal".into(),
 ///     class: "interactive".into(),
-///     customer: "school".into(),
+///     organisation: "school".into(),
 ///     snapshot: SnapshotId(7),
 ///     range: KeyRange { start: 0, end: 100 },
 ///     upstream: "leaf-1".into(),
--- a/crates/cornelwinch_limiter/tests/fake/mod.rs
+++ b/crates/cornelwinch_limiter/tests/fake/mod.rs
@@ -37,7 +37,7 @@
         query: QueryId(attempt),
         search: "portal".into(),
         class: "interactive".into(),
-        customer: "school".into(),
+        organisation: "school".into(),
         snapshot: SnapshotId(7),
         range: KeyRange { start: 0, end: 9 },
         upstream: "leaf-1".into(),
--- a/crates/cornelwinch_tickets/src/bucket.rs
+++ b/crates/cornelwinch_tickets/src/bucket.rs
@@ -13,7 +13,7 @@
 /// Durable record that a host incarnation runs, or ran, the request of a key.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimRecord {
-    /// Key chosen by the caller, prefixed by its customer.
+    /// Key chosen by the caller, prefixed by its organisation.
     pub key: Name,
     /// Hash of search and body.
     #[serde(with = "fingerprint_text")]
--- a/crates/cornelwinch_tickets/src/claim.rs
+++ b/crates/cornelwinch_tickets/src/claim.rs
@@ -19,7 +19,7 @@
 /// A copy of a request that names a key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ClaimCopy {
-    /// Key of the request, which must include the customer.
+    /// Key of the request, which must include the organisation.
     pub key: Name,
     /// Hash of search and body.
     pub fingerprint: Fingerprint,
--- a/crates/cornelwinch_tickets/src/claims.rs
+++ b/crates/cornelwinch_tickets/src/claims.rs
@@ -99,7 +99,7 @@
     }
 
     /// Asks for a decision about a copy of a request; it comes as one
-    /// [`ClaimAction::Begin`], now or later. `key` must include the customer.
+    /// [`ClaimAction::Begin`], now or later. `key` must include the organisation.
     pub fn claim(
         &mut self,
         now: Instant,
--- a/crates/cornelwinch_tickets/tests/at_most_once.rs
+++ b/crates/cornelwinch_tickets/tests/at_most_once.rs
@@ -22,7 +22,7 @@
         query: QueryId(1),
         search: "stock".into(),
         class: "dispatch".into(),
-        customer: "school".into(),
+        organisation: "school".into(),
         snapshot: SnapshotId(1),
         range: KeyRange { start: 0, end: 9 },
         upstream: "".into(),
--- a/crates/cornelwinch_types/src/id.rs
+++ b/crates/cornelwinch_types/src/id.rs
@@ -3,7 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 
-/// A shared immutable string: the name of a host, availability zone, customer,
+/// A shared immutable string: the name of a host, availability zone, organisation,
 /// upstream, search or class, or the text of a request or hit.
 pub type Name = Arc<str>;
 
--- a/crates/cornelwinch_types/src/leg.rs
+++ b/crates/cornelwinch_types/src/leg.rs
@@ -15,8 +15,9 @@
     pub search: Name,
     /// Traffic class, for histograms and policy.
     pub class: Name,
-    /// Customer on whose behalf the leg runs.
-    pub customer: Name,
+    /// Organisation on whose behalf the leg runs.
+    #[serde(rename = "customer")]
+    pub organisation: Name,
     /// Snapshot that the answer must come from.
     pub snapshot: SnapshotId,
     /// Key range to search.
--- a/examples/embed_owner.rs
+++ b/examples/embed_owner.rs
@@ -63,7 +63,7 @@
         query: QueryId(attempt),
         search: "portal".into(),
         class: "lookup".into(),
-        customer: "school".into(),
+        organisation: "school".into(),
         snapshot: SnapshotId(1),
         range: KeyRange { start: 0, end: 100 },
         upstream: "portal-000-0".into(),
--- a/examples/measure/load.rs
+++ b/examples/measure/load.rs
@@ -34,7 +34,7 @@
     MixItem {
         search: search.to_owned(),
         class: search.to_owned(),
-        customer: search.to_owned(),
+        organisation: search.to_owned(),
         token: Deployment::token(search),
         weight: 1.0,
         deadline_ms,
--- a/examples/measure/plans.rs
+++ b/examples/measure/plans.rs
@@ -34,7 +34,7 @@
     let door = item("door", 340);
     let status = MixItem {
         class: "status".to_owned(),
-        customer: "status".to_owned(),
+        organisation: "status".to_owned(),
         token: Deployment::token("status"),
         weight: OFFERED_PER_S / HIGH_PER_S - 1.0,
         ..door.clone()
