--- a/crates/cornelwinch_relay/src/leg.rs
+++ b/crates/cornelwinch_relay/src/leg.rs
@@ -6,6 +6,7 @@
 use cornelwinch_types::Fingerprint;
 use http_body_util::Full;
 use hyper::header::{self, HeaderValue};
+use hyper::http::response::Parts;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 
 use crate::body::{MAX_FRAMING_BYTES, TooLarge, read_body};
@@ -264,14 +265,10 @@
         core.fleet.set_cold_left(Instant::now(), upstream.id, left);
     }
     let id_matches = head.headers.get(&shared.dialect.headers.request_id) == Some(&out.request_id);
-    let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
-    if !is_misdirected {
+    // An answer with this status comes from another upstream.
+    if head.status != StatusCode::MISDIRECTED_REQUEST {
         record_withdrawal(shared, upstream, head.status, &head.headers);
     }
-    let not_run = is_misdirected
-        || head
-            .headers
-            .contains_key(&shared.dialect.headers.not_executed);
     let names_other = head
         .headers
         .contains_key(&shared.dialect.headers.request_id)
@@ -308,22 +305,26 @@
         let keep_alive = keep_alive_timeout(&head.headers);
         shared.pool.release(upstream.id, http, keep_alive);
     }
-    if is_misdirected {
+    judge_answer(shared, head, body)
+}
+
+/// Decides what a complete answer to this request means. Returns `None` as the signal of an answer
+/// whose time tells the upstream's health.
+fn judge_answer(shared: &Shared, head: Parts, body: Bytes) -> (LegOutcome, Option<HealthSignal>) {
+    let names = &shared.dialect.headers;
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
         return (
             LegOutcome::NotRun(NotRunReason::Misdirected),
             Some(HealthSignal::Misdirected),
         );
     }
-    if not_run {
+    if head.headers.contains_key(&names.not_executed) {
         return (
             LegOutcome::NotRun(NotRunReason::Refused),
             Some(HealthSignal::Refused),
         );
     }
-    if !head
-        .headers
-        .contains_key(&shared.dialect.headers.server_stamp)
-    {
+    if !head.headers.contains_key(&names.server_stamp) {
         return (LegOutcome::Lost("unstamped"), Some(HealthSignal::Failed));
     }
     if head.headers.contains_key(header::CONTENT_ENCODING) {
--- a/crates/cornelwinch_routing/src/lib.rs
+++ b/crates/cornelwinch_routing/src/lib.rs
@@ -16,6 +16,7 @@
 mod sources;
 mod table;
 mod top_k;
+mod upstream;
 mod withdrawal;
 
 pub use budget::{RepeatKind, RetryBudget, RetryBudgetConfig, RetryBudgetUsage};
@@ -23,9 +24,7 @@
 pub use cold::ColdRateLimiter;
 pub use crashes::{CrashReport, CrashTracker, RequestFingerprint};
 pub use desired::{CallerLimits, DesiredState, GatherPlan, Route, RouteKind, Service, Target};
-pub use fleet::{
-    Fleet, UpstreamEndpoint, UpstreamEntry, UpstreamId, UpstreamLimits, UpstreamState,
-};
+pub use fleet::Fleet;
 pub use health::{HealthSignal, UpstreamHealth};
 pub use overload::{GatherLimit, GatherOutcome};
 pub use permits::HostPermits;
@@ -34,4 +33,5 @@
 pub use sources::{HostEntry, source_count, source_order};
 pub use table::{RouteLookup, RouteTable};
 pub use top_k::{RECORD_BYTES, TopKMerge};
+pub use upstream::{UpstreamEndpoint, UpstreamEntry, UpstreamId, UpstreamLimits, UpstreamState};
 pub use withdrawal::{FaultHold, RestPeriod};
