--- a/crates/cornelwinch_cli/tests/command_texts.rs
+++ b/crates/cornelwinch_cli/tests/command_texts.rs
@@ -38,7 +38,7 @@
     launch: no such command or positional: `launch`, did you mean `bench`?
     apply: expected `--platform=ADDR`, pass `--help` for usage information
     apply --platform platform.example file: couldn't parse `platform.example`: invalid socket address syntax
-    get --platform 127.0.0.1:1 plans: couldn't parse `plans`: expected class, search, plan, organisation, zone, upstream, snapshot or host,
+    get --platform 127.0.0.1:1 plans: couldn't parse `plans`: expected class, search, plan, customer, zone, upstream, snapshot or host,
     found "plans"
     zone --platform 127.0.0.1:1 off tunis-a: couldn't parse `off`: expected out or in
     host --platform 127.0.0.1:1 drain tunis/a: get host/tunis/a: expected a kind and a name of letters, digits or any of "._~-"
--- a/crates/cornelwinch_config/tests/document_order.rs
+++ b/crates/cornelwinch_config/tests/document_order.rs
@@ -47,7 +47,7 @@
             .expect_err("no classes"),
     );
     insta::assert_snapshot!(found.join("\n"), @r#"
-    doc.jsonc:1: key "zones": expected one of class, search, plan, organisation, zone, upstream, snapshot, host, found an unknown key
+    doc.jsonc:1: key "zones": expected one of class, search, plan, customer, zone, upstream, snapshot, host, found an unknown key
     doc.jsonc:1: key "zone": expected an object, found a list
     doc.jsonc:2: key "zone.z1": expected a valid zone, found unknown field `reign`, expected `region` or `state`
     doc.jsonc:3: zone "z 1": key "name": expected letters, digits or any of "._~-", found z 1
--- a/crates/cornelwinch_config/tests/entry_rules.rs
+++ b/crates/cornelwinch_config/tests/entry_rules.rs
@@ -122,9 +122,9 @@
     plan "gold": key "burst": expected an integer above 0, found 0
     plan "gold": key "concurrency": expected an integer above 0, found 0
     plan "gold": key "searches": search "stock" does not exist
-    organisation "school": key "plan": plan "silver" does not exist
-    organisation "school": key "token_hash": expected 64 hexadecimal digits, found 12
-    organisation "school": key "token_hash": organisation "shop" has the same token
+    customer "school": key "plan": plan "silver" does not exist
+    customer "school": key "token_hash": expected 64 hexadecimal digits, found 12
+    customer "school": key "token_hash": customer "shop" has the same token
     search "portal": key "classes": expected at least one class, found none
     search "portal": key "classes": class "slow" does not exist
     class "fast": key "min_coverage": expected a number from 0 to 1, found 1.01
