review: case 5, machines that start while the store is down never register (FAILBACK)

Cause: keep_in_sync registers once and does not repeat a failed call; a host that finds no hosts takes the limits of cold leafs, connections and repeats for itself alone.

--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -17,6 +17,9 @@
 /// Requests a second that a cold leaf tolerates, in the case `cold`.
 const COLD_PER_S: f64 = 5.0;
 
+/// Time for which a leaf is cold after its start, in the case `cold`.
+const COLD_TIME: Duration = Duration::from_secs(5);
+
 /// Bound of FAILBACK: `cold_per_s` x `cold_overshoot` + `cold_slack`.
 const COLD_BOUND: f64 = COLD_PER_S * 1.5 + 5.0;
 
@@ -176,7 +179,8 @@
             goal_ms: if trouble { 0.0 } else { 400.0 },
             service: "jobs",
         };
-        let sound: Arc<Behaviour> = Arc::new(|_| Act::Answer(200, b"the server's bytes".to_vec()));
+        let sound: Arc<Behaviour> =
+            Arc::new(|_, _| Act::Answer(200, b"the server's bytes".to_vec()));
         self.configure(1, &[old()]);
         self.leafs("jobs", &["a", "b"], &sound);
         let mut relays = match self.relays(&["a", "b"]) {
@@ -219,7 +223,7 @@
     fn refused(&self, trouble: bool) -> Verdict {
         let status = if trouble { 503 } else { 500 };
         let failing: Arc<Behaviour> =
-            Arc::new(move |_| Act::Answer(status, b"failed midway".to_vec()));
+            Arc::new(move |_, _| Act::Answer(status, b"failed midway".to_vec()));
         self.configure(
             1,
             &[RouteSpec {
@@ -274,7 +278,7 @@
     fn stop(&self, trouble: bool) -> Verdict {
         const ANSWER: usize = 12 << 20;
         const RATE: f64 = 4.5e6;
-        let sound: Arc<Behaviour> = Arc::new(|_| Act::Answer(200, vec![b'x'; ANSWER]));
+        let sound: Arc<Behaviour> = Arc::new(|_, _| Act::Answer(200, vec![b'x'; ANSWER]));
         self.configure(
             1,
             &[RouteSpec {
@@ -345,7 +349,7 @@
 
     /// Machines are restarted one after the other while a request that crashes leafs comes again.
     fn crashing(&self, trouble: bool) -> Verdict {
-        let behaviour: Arc<Behaviour> = Arc::new(|head| {
+        let behaviour: Arc<Behaviour> = Arc::new(|head, _| {
             if head.word(1) == "/jobs/crash" {
                 return Act::Crash;
             }
@@ -448,18 +452,18 @@
 
     /// The store is down while the machines start for the first time; later a cold leaf joins.
     fn cold(&self, trouble: bool) -> Verdict {
-        let sound: Arc<Behaviour> = Arc::new(|_| {
+        let sound: Arc<Behaviour> = Arc::new(|_, _| {
             std::thread::sleep(Duration::from_millis(90));
             Act::Answer(200, b"the server's bytes".to_vec())
         });
         let recent: Mutex<VecDeque<Instant>> = Mutex::default();
-        let while_cold: Arc<Behaviour> = Arc::new(move |_| {
+        let while_cold: Arc<Behaviour> = Arc::new(move |_, age| {
             let now = Instant::now();
             let mut recent = recent.lock().unwrap();
             recent.push_back(now);
             recent.retain(|at| now - *at < Duration::from_secs(1));
             // A rate well above the bound crashes it.
-            if recent.len() as f64 > 2.0 * COLD_BOUND {
+            if age < COLD_TIME && recent.len() as f64 > 2.0 * COLD_BOUND {
                 recent.clear();
                 return Act::Crash;
             }
@@ -467,15 +471,19 @@
             std::thread::sleep(Duration::from_millis(90));
             Act::Answer(200, b"the server's bytes".to_vec())
         });
+        let route = |prefix, kind| RouteSpec {
+            prefix,
+            kind,
+            timeout_ms: 6_000,
+            goal_ms: 400.0,
+            service: "jobs",
+        };
         self.configure(
             1,
-            &[RouteSpec {
-                prefix: "/status/",
-                kind: "idempotent",
-                timeout_ms: 6_000,
-                goal_ms: 400.0,
-                service: "jobs",
-            }],
+            &[
+                route("/status/", "idempotent"),
+                route("/book/", "non_idempotent"),
+            ],
         );
         self.leafs("jobs", &["a", "b", "c", "a"], &sound);
         if trouble {
@@ -504,13 +512,18 @@
                         while self.record.now() < end {
                             last += 1;
                             let id = format!("id-{n}-{caller}-{last}");
-                            self.send(relay, "GET", &format!("/status/{last}"), &id, b"");
+                            // One caller of a machine books jobs, the others ask.
+                            if caller == 0 {
+                                self.send(relay, "POST", "/book/1", &id, id.as_bytes());
+                            } else {
+                                self.send(relay, "GET", &format!("/status/{last}"), &id, b"");
+                            }
                         }
                     });
                 }
             }
             std::thread::sleep(Duration::from_secs(3));
-            let cold = Duration::from_secs(5);
+            let cold = COLD_TIME;
             Leaf::start(
                 &self.store,
                 self.record,
@@ -533,7 +546,7 @@
             .lines_with(&format!("run {id} "))
             .into_iter()
             .map(|(at, _)| at)
-            .filter(|at| *at < from + 5.0)
+            .filter(|at| *at < from + COLD_TIME.as_secs_f64())
             .collect();
         let in_second = |from: f64| {
             arrivals
@@ -542,6 +555,15 @@
                 .count()
         };
         let most = arrivals.iter().map(|at| in_second(*at)).max().unwrap_or(0);
+        let answers = self.record.lines_with("answer ");
+        let lost = answers
+            .iter()
+            .filter(|(_, text)| !text.contains("status=200"))
+            .count();
+        let crashes = self.record.lines_with("crash ").len();
+        self.record.line(&format!(
+            "crashes of cold leafs: {crashes}, requests without their answer: {lost}"
+        ));
         self.record.line(&format!(
             "arrivals at the cold leaf: {} in all, at most {most} in one second, bound {COLD_BOUND}",
             arrivals.len()
--- a/review/standins/leaf.rs
+++ b/review/standins/leaf.rs
@@ -4,7 +4,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::{Conn, Head, message};
 use crate::record::Record;
@@ -18,7 +18,8 @@
     Crash,
 }
 
-pub type Behaviour = dyn Fn(&Head) -> Act + Send + Sync;
+/// Decides on a request from its head and the age of the lifetime.
+pub type Behaviour = dyn Fn(&Head, Duration) -> Act + Send + Sync;
 
 /// Time after a crash at which a leaf is back.
 const DOWN_TIME: Duration = Duration::from_millis(2_500);
@@ -92,6 +93,7 @@
             place: self,
             id,
             addr,
+            born: Instant::now(),
             ended: AtomicBool::new(false),
             conns: Mutex::new(Vec::new()),
         });
@@ -103,6 +105,7 @@
     place: Arc<Leaf>,
     id: String,
     addr: SocketAddr,
+    born: Instant,
     ended: AtomicBool,
     conns: Mutex<Vec<TcpStream>>,
 }
@@ -142,7 +145,7 @@
             self.place
                 .record
                 .line(&format!("run leaf={} id={id} {method} {path}", self.id));
-            match (self.place.behaviour)(&head) {
+            match (self.place.behaviour)(&head, self.born.elapsed()) {
                 Act::Answer(status, body) => {
                     let stamp = format!("stamp.{}.{id}", self.id);
                     let headers = [
