--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # the disruption out. Needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/review ] && [ -x target/release/cornelwinchd ] || exit 2
-exec target/review/review stop review/2
+exec target/review/review crashing-late review/2
--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -36,7 +36,8 @@
         "refused" => stage.refused(trouble),
         "stop" => stage.stop(trouble),
         "cold" => stage.cold(trouble),
-        "crashing" => stage.crashing(trouble),
+        "crashing" => stage.crashing(trouble, false),
+        "crashing-late" => stage.crashing(false, trouble),
         _ => Verdict::CannotRun(format!("no case {case}")),
     }
 }
@@ -347,11 +348,14 @@
         }
     }
 
-    /// Machines are restarted one after the other while a request that crashes leafs comes again.
-    fn crashing(&self, trouble: bool) -> Verdict {
-        let behaviour: Arc<Behaviour> = Arc::new(|head, _| {
-            if head.word(1) == "/jobs/crash" {
-                return Act::Crash;
+    /// A request that crashes leafs comes again. With `restarts`, the machines are restarted one
+    /// after the other; with `mid_answer`, the leafs have begun their answer when they crash.
+    fn crashing(&self, restarts: bool, mid_answer: bool) -> Verdict {
+        let behaviour: Arc<Behaviour> = Arc::new(move |head, _| {
+            match head.word(1) {
+                "/jobs/crash" if mid_answer => return Act::CrashMidAnswer,
+                "/jobs/crash" => return Act::Crash,
+                _ => {}
             }
             std::thread::sleep(Duration::from_millis(300));
             Act::Answer(200, b"the server's bytes".to_vec())
@@ -396,7 +400,7 @@
         };
         let counted_from = third + STABLE_WINDOW.as_secs_f64();
         for n in 0..relays.len() {
-            if trouble {
+            if restarts {
                 relays[n].stop_and_start_again();
                 if !relays[n].wait_ready() {
                     return Verdict::CannotRun("not ready after a restart".to_owned());
--- a/review/standins/leaf.rs
+++ b/review/standins/leaf.rs
@@ -14,8 +14,10 @@
 pub enum Act {
     /// Answers with this status and body.
     Answer(u16, Vec<u8>),
-    /// The request crashes the leaf.
+    /// The request crashes the leaf before it answers.
     Crash,
+    /// The request crashes the leaf when it has sent the first bytes of its answer.
+    CrashMidAnswer,
 }
 
 /// Decides on a request from its head and the age of the lifetime.
@@ -158,6 +160,15 @@
                     }
                 }
                 Act::Crash => return self.crash(),
+                Act::CrashMidAnswer => {
+                    let stamp = format!("stamp.{}.{id}", self.id);
+                    let begun = format!(
+                        "HTTP/1.1 200 X\r\nRequest-Id: {id}\r\nServer-Stamp: {stamp}\r\nContent-Length: 1000\r\n\r\nthe first bytes"
+                    );
+                    let _ = conn.send(begun.as_bytes());
+                    std::thread::sleep(Duration::from_millis(20));
+                    return self.crash();
+                }
             }
         }
     }
