--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::path::Path;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -220,11 +221,18 @@
         }
     }
 
-    /// A leaf runs requests that may run once and answers them with a failure.
+    /// Four of five leafs fail three of five requests that may run once, after having run them.
     fn refused(&self, trouble: bool) -> Verdict {
         let status = if trouble { 503 } else { 500 };
-        let failing: Arc<Behaviour> =
-            Arc::new(move |_, _| Act::Answer(status, b"failed midway".to_vec()));
+        let sound: Arc<Behaviour> = Arc::new(|_, _| Act::Answer(200, b"booked".to_vec()));
+        let count = AtomicUsize::new(0);
+        let grey: Arc<Behaviour> = Arc::new(move |_, _| {
+            if count.fetch_add(1, Ordering::Relaxed) % 5 < 3 {
+                Act::Answer(status, b"failed midway".to_vec())
+            } else {
+                Act::Answer(200, b"booked".to_vec())
+            }
+        });
         self.configure(
             1,
             &[RouteSpec {
@@ -235,24 +243,20 @@
                 service: "jobs",
             }],
         );
-        self.leafs("jobs", &["a", "b"], &failing);
+        self.leafs("jobs", &["a", "b", "c", "a"], &grey);
+        self.leafs("jobs", &["b"], &sound);
         let relays = match self.relays(&["a", "b"]) {
             Ok(relays) => relays,
             Err(verdict) => return verdict,
         };
         let mut broken = 0;
-        for n in 0..5 {
-            // A requester repeats after a promise, at another machine.
+        for n in 0..40 {
+            // A requester repeats after a promise, once, at another machine.
             for attempt in 0..2 {
                 let id = format!("job-{n}-{attempt}");
                 let relay = &relays[(n + attempt) % relays.len()];
-                let answer = self.send(
-                    relay,
-                    "POST",
-                    "/jobs/book",
-                    &id,
-                    format!("job {n}").as_bytes(),
-                );
+                let job = format!("job {n}");
+                let answer = self.send(relay, "POST", "/jobs/book", &id, job.as_bytes());
                 let promised = matches!(answer, Some(408 | 421 | 429 | 503));
                 if promised && self.has_run(&id) {
                     broken += 1;
