relay: split shared state, ingestion and feed messages from the core

The files answer, apply, core, feed, leg and metrics imported each other in a circle, and every new part would have been added to core.rs (474 lines).

Nothing changes in behaviour.

--- a/crates/cornelwinch_relay/src/apply.rs
+++ b/crates/cornelwinch_relay/src/apply.rs
@@ -4,8 +4,8 @@
 use cornelwinch_routing::{HostEntry, HostPermits, RouteTable, UpstreamEntry};
 use cornelwinch_types::Name;
 
-use crate::core::Shared;
 use crate::dialect::{ObjectKind, ObjectValue, StoreObject};
+use crate::shared::Shared;
 
 /// Applies changes of one kind to routing. If `keep_missing` is set, entries may have expired
 /// during a store outage, and upstreams whose entries were removed stay in use for that time.
--- a/crates/cornelwinch_relay/src/callers.rs
+++ b/crates/cornelwinch_relay/src/callers.rs
@@ -7,8 +7,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use crate::core::Shared;
 use crate::handle::handle;
+use crate::shared::Shared;
 
 /// Pause after a failed accept, which mostly means that file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
--- a/crates/cornelwinch_relay/src/fetch.rs
+++ b/crates/cornelwinch_relay/src/fetch.rs
@@ -10,8 +10,8 @@
 use futures_util::stream::FuturesUnordered;
 use tokio::time::{sleep, timeout};
 
-use crate::core::Shared;
 use crate::leg::{LegOutcome, NotRunReason, OutgoingRequest, UpstreamAnswer, run_leg};
+use crate::shared::Shared;
 
 /// Time for which the remaining legs of an answered request may complete. A completed leg keeps its
 /// connection and reports the health of its upstream.
--- a/crates/cornelwinch_relay/src/follow.rs
+++ b/crates/cornelwinch_relay/src/follow.rs
@@ -5,8 +5,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-use crate::core::Shared;
 use crate::dialect::{ObjectKind, ObjectPage, ObjectProblem, StoreObject};
+use crate::shared::Shared;
 use crate::store::{StoreClient, StoreError};
 
 /// Time beyond its requested wait after which a watch fails.
--- a/crates/cornelwinch_relay/src/handle.rs
+++ b/crates/cornelwinch_relay/src/handle.rs
@@ -14,10 +14,10 @@
 use hyper::{Request, Response, StatusCode};
 
 use crate::answer::Reply;
-use crate::core::Shared;
 use crate::headers::{millis, strip_hop_by_hop};
 use crate::leg::OutgoingRequest;
 use crate::scatter::answer_scatter;
+use crate::shared::Shared;
 use crate::single::answer_single;
 
 /// Time reserved before the deadline for sending the answer to the caller.
--- a/crates/cornelwinch_relay/src/leg.rs
+++ b/crates/cornelwinch_relay/src/leg.rs
@@ -10,8 +10,8 @@
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 
 use crate::body::{MAX_FRAMING_BYTES, TooLarge, read_body};
-use crate::core::Shared;
 use crate::headers::{is_closing, keep_alive_timeout, millis, millis_value, retry_after};
+use crate::shared::Shared;
 
 /// Multiple of the median leg time from which a cancelled leg counts as timed out by its upstream.
 const TIMED_OUT_LATENCY_RATIO: f64 = 3.0;
--- a/crates/cornelwinch_relay/src/metrics.rs
+++ b/crates/cornelwinch_relay/src/metrics.rs
@@ -4,7 +4,7 @@
 use cornelwinch_types::{Name, SortedMap};
 use hdrhistogram::Histogram;
 
-use crate::answer::Outcome;
+use crate::outcome::Outcome;
 
 const HISTOGRAM_LOW_US: u64 = 1;
 const HISTOGRAM_HIGH_US: u64 = 60_000_000;
--- a/crates/cornelwinch_relay/src/operator.rs
+++ b/crates/cornelwinch_relay/src/operator.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
-use crate::core::Shared;
+use crate::shared::Shared;
 
 type Handler = fn(&Shared, &Request<Incoming>) -> Response<Full<Bytes>>;
 
--- a/crates/cornelwinch_relay/src/relay.rs
+++ b/crates/cornelwinch_relay/src/relay.rs
@@ -11,7 +11,6 @@
 use tokio::time::{interval, sleep};
 
 use crate::callers::serve_callers;
-use crate::core::Shared;
 use crate::dialect::Dialect;
 use crate::error::{BindSnafu, ProcessSnafu, RelayError};
 use crate::feed::serve_feed;
@@ -19,6 +18,7 @@
 use crate::operator::{answer_metrics, answer_readiness, serve_http};
 use crate::report::report_crashes;
 use crate::settings::RelaySettings;
+use crate::shared::Shared;
 use crate::sync::keep_in_sync;
 
 /// Length of the queue of connections that wait to be accepted.
--- a/crates/cornelwinch_relay/src/report.rs
+++ b/crates/cornelwinch_relay/src/report.rs
@@ -8,8 +8,9 @@
 use tokio::time::{interval, timeout};
 use tokio_tungstenite::client_async_with_config;
 
-use crate::core::Shared;
-use crate::feed::{FeedMessage, REPORT_PATH, encode, send, socket_config};
+use crate::feed::{REPORT_PATH, send, socket_config};
+use crate::feed_message::{FeedMessage, encode};
+use crate::shared::Shared;
 
 /// Interval between two checks for crash reports. Reports have to arrive within the recovery time
 /// of a host, which is a few seconds.
--- a/crates/cornelwinch_relay/src/scatter.rs
+++ b/crates/cornelwinch_relay/src/scatter.rs
@@ -15,9 +15,9 @@
 use tokio::time::sleep_until;
 
 use crate::answer::{Reply, unserved};
-use crate::core::Shared;
 use crate::fetch::{FetchOutcome, FetchPlan, drain_in_background, fetch, hedge_after};
 use crate::leg::OutgoingRequest;
+use crate::shared::Shared;
 
 /// Share of the route's goal after which an answer with missing parts is returned.
 const PARTIAL_ANSWER_GOAL_RATIO: f64 = 0.8;
--- /dev/null
+++ b/crates/cornelwinch_relay/src/shared.rs
@@ -0,0 +1,235 @@
+use std::cell::{Cell, RefCell};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use cornelwinch_routing::{
+    CrashReport, HostEntry, RepeatKind, RetryBudgetConfig, UpstreamEndpoint, UpstreamId,
+    UpstreamLimits,
+};
+use cornelwinch_types::Name;
+use tokio::sync::{broadcast, watch};
+
+use crate::answer_memory::AnswerMemory;
+use crate::core::Core;
+use crate::feed_message::{FeedMessage, encode};
+use crate::mirror::Mirror;
+use crate::pool::Pool;
+use crate::store_health::StoreHealth;
+use crate::{Dialect, RelaySettings};
+
+/// Number of messages by which a subscriber may lag before its connection is closed.
+const FEED_QUEUE_MESSAGES: usize = 256;
+
+/// Connection limit of an upstream whose service is not in the desired state.
+const DEFAULT_UPSTREAM_CONNECTIONS: usize = 4;
+
+/// State shared by the tasks of a relay, which all run on one thread.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) core: RefCell<Core>,
+    pub(crate) pool: Pool,
+    pub(crate) answer_memory: AnswerMemory,
+    pub(crate) dialect: Dialect,
+    pub(crate) settings: RefCell<RelaySettings>,
+    /// Time at which the remaining requests are answered as timed out; set once the host is asked
+    /// to stop.
+    pub(crate) stop_at: Cell<Option<Instant>>,
+    /// Becomes true once `stop_at` has passed.
+    pub(crate) stop_due: watch::Sender<bool>,
+    /// Number of caller requests that are being answered.
+    pub(crate) active: Cell<usize>,
+    /// Local copy of the store's objects.
+    pub(crate) mirror: RefCell<Mirror>,
+    /// The registered hosts.
+    pub(crate) hosts: RefCell<Vec<HostEntry>>,
+    pub(crate) store_health: StoreHealth,
+    /// Sends encoded messages to the hosts that this one feeds.
+    pub(crate) feed: broadcast::Sender<Bytes>,
+    is_source: Cell<bool>,
+    /// Time of the last valid heartbeat from the source that feeds this host.
+    last_feed: Cell<Option<Instant>>,
+    last_leg_token: Cell<u64>,
+}
+
+impl Shared {
+    pub(crate) fn new(settings: RelaySettings, dialect: Dialect) -> Self {
+        let core = Core::new(settings.host.clone());
+        Self {
+            core: RefCell::new(core),
+            pool: Pool::default(),
+            answer_memory: AnswerMemory::new(settings.answer_memory()),
+            dialect,
+            settings: RefCell::new(settings),
+            stop_at: Cell::new(None),
+            stop_due: watch::Sender::new(false),
+            active: Cell::new(0),
+            mirror: RefCell::default(),
+            hosts: RefCell::default(),
+            store_health: StoreHealth::default(),
+            feed: broadcast::channel(FEED_QUEUE_MESSAGES).0,
+            is_source: Cell::new(false),
+            last_feed: Cell::new(None),
+            last_leg_token: Cell::new(0),
+        }
+    }
+
+    pub(crate) fn next_leg_token(&self) -> u64 {
+        self.last_leg_token.set(self.last_leg_token.get() + 1);
+        self.last_leg_token.get()
+    }
+
+    /// Returns the entry under which this host is registered.
+    pub(crate) fn own_entry(&self) -> HostEntry {
+        let settings = self.settings.borrow();
+        HostEntry {
+            name: settings.host.clone(),
+            zone: settings.zone.clone(),
+            peer: settings.peer,
+        }
+    }
+
+    /// Returns true if this host follows the store itself, so that it can feed other hosts.
+    pub(crate) fn is_source(&self) -> bool {
+        self.is_source.get()
+    }
+
+    /// Sets whether this host follows the store itself.
+    pub(crate) fn set_source(&self, is_source: bool) {
+        self.is_source.set(is_source);
+    }
+
+    /// Records a heartbeat from a source that is up to date with the store.
+    pub(crate) fn record_feed(&self, now: Instant) {
+        self.last_feed.set(Some(now));
+    }
+
+    /// Returns the time since this host's copy of the store was last confirmed.
+    pub(crate) fn store_data_age(&self, now: Instant) -> Option<Duration> {
+        if self.is_source() {
+            return self.store_health.time_since_answer(now);
+        }
+        let fed = self.last_feed.get()?;
+        Some(now.saturating_duration_since(fed))
+    }
+
+    /// Sends a message to the hosts that this one feeds.
+    pub(crate) fn publish(&self, message: &FeedMessage) {
+        let hosts = self.feed.receiver_count();
+        if hosts > 0 {
+            let buf = encode(message);
+            log::info!(
+                "event=feed_sent {message} bytes={} hosts={hosts}",
+                buf.len()
+            );
+            // Sending fails only if the last receiver is gone, which is harmless.
+            let _ = self.feed.send(buf);
+        }
+    }
+
+    /// Returns this host's share of the limit on repeats.
+    pub(crate) fn budget_config(&self) -> RetryBudgetConfig {
+        let bounds = self.settings.borrow().bounds;
+        RetryBudgetConfig {
+            ratio: bounds.repeat_ratio,
+            window: Duration::from_secs_f64(bounds.repeat_window_s),
+            slack: bounds.repeat_slack,
+            hosts: self.core.borrow().host_count(),
+        }
+    }
+
+    /// Returns true if this host was asked to stop.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stop_at.get().is_some()
+    }
+
+    /// Waits until the remaining requests have to be answered because this host stops.
+    pub(crate) async fn stop_due(&self) {
+        // The sender is owned by `self`, so the channel stays open.
+        let _ = self.stop_due.subscribe().wait_for(|ended| *ended).await;
+    }
+
+    /// Counts a caller's request to a service.
+    pub(crate) fn count_request(&self, service: &Name) {
+        let config = self.budget_config();
+        let mut core = self.core.borrow_mut();
+        core.budget.count_request(Instant::now(), &config, service);
+    }
+
+    /// Takes a repeat to a service out of the budget. Returns false if the budget is exhausted.
+    pub(crate) fn spend_repeat(&self, service: &Name, repeat: RepeatKind) -> bool {
+        let config = self.budget_config();
+        let mut core = self.core.borrow_mut();
+        let granted = core
+            .budget
+            .try_spend(Instant::now(), &config, service, repeat);
+        if granted {
+            core.metrics.repeats += 1;
+        } else {
+            core.metrics.repeats_denied += 1;
+        }
+        granted
+    }
+
+    /// Records reports by other hosts of requests that crashed upstreams.
+    pub(crate) fn record_crash_reports(&self, reports: &[CrashReport]) {
+        let now = Instant::now();
+        let mut core = self.core.borrow_mut();
+        for report in reports {
+            if core.crash_tracker.record_report(now, report) {
+                log::warn!(
+                    "event=request_marked print={:?} reason=reported upstreams={} attempts={}",
+                    report.fingerprint,
+                    report.upstreams.len(),
+                    report.attempts.len()
+                );
+            }
+        }
+    }
+
+    /// Returns true if this host should receive new connections from callers: it has a
+    /// configuration and upstreams, is not stopping, and is either not isolated or can still serve
+    /// all routes.
+    pub(crate) fn is_ready(&self) -> bool {
+        let core = self.core.borrow();
+        let Some(table) = &core.table else {
+            return false;
+        };
+        let now = Instant::now();
+        if self.is_stopping() || core.fleet.is_empty() {
+            return false;
+        }
+        let can_serve_all = || {
+            table
+                .routes()
+                .iter()
+                .all(|route| core.can_serve(now, route))
+        };
+        !core.fleet.is_isolated(now, &self.settings.borrow().zone) || can_serve_all()
+    }
+
+    /// Selects an upstream of a service for the next leg, except those in `tried`.
+    pub(crate) fn pick_upstream(
+        &self,
+        service: &Name,
+        tried: &[UpstreamId],
+    ) -> Option<UpstreamEndpoint> {
+        let settings = self.settings.borrow();
+        let core = &mut *self.core.borrow_mut();
+        let table = core.table.as_ref();
+        let limits = match table.and_then(|table| table.service(service)) {
+            Some(service) => core.upstream_limits(service, &settings.bounds),
+            None => UpstreamLimits {
+                connections: DEFAULT_UPSTREAM_CONNECTIONS,
+                cold_per_s: None,
+            },
+        };
+        core.fleet.pick(
+            Instant::now(),
+            service,
+            &settings.zone,
+            tried,
+            limits,
+            &mut core.rng,
+        )
+    }
+}
--- a/crates/cornelwinch_relay/src/single.rs
+++ b/crates/cornelwinch_relay/src/single.rs
@@ -7,9 +7,9 @@
 use tokio::time::timeout_at;
 
 use crate::answer::{Reply, unserved};
-use crate::core::Shared;
 use crate::fetch::{FetchOutcome, FetchPlan, fetch, hedge_after};
 use crate::leg::OutgoingRequest;
+use crate::shared::Shared;
 
 /// Share of the route's goal after which an idempotent request is hedged.
 const HEDGE_GOAL_RATIO: f64 = 0.4;
--- a/crates/cornelwinch_relay/src/subscribe.rs
+++ b/crates/cornelwinch_relay/src/subscribe.rs
@@ -7,10 +7,11 @@
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::{WebSocketStream, client_async_with_config};
 
-use crate::core::Shared;
 use crate::dialect::{ObjectKind, ObjectValue, StoreObject};
-use crate::feed::{FEED_PATH, FeedMessage, HEARTBEAT_INTERVAL, encode, send, socket_config};
+use crate::feed::{FEED_PATH, HEARTBEAT_INTERVAL, send, socket_config};
+use crate::feed_message::{FeedMessage, encode};
 use crate::follow::WATCH_TIMEOUT_MARGIN;
+use crate::shared::Shared;
 
 /// Timeout for connecting to a source and exchanging the first messages.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(300);
--- a/crates/cornelwinch_relay/src/sync.rs
+++ b/crates/cornelwinch_relay/src/sync.rs
@@ -5,8 +5,8 @@
 use hyper::StatusCode;
 use tokio::time::{sleep, timeout};
 
-use crate::core::Shared;
 use crate::follow::{STORE_CALL_TIMEOUT, StoreFollower, list_hosts};
+use crate::shared::Shared;
 use crate::store::{StoreClient, StoreError};
 use crate::subscribe::Subscription;
 
