routing, relay, platform: types and settings for organisations, caps, roll-outs and placement

Two customers bring organisations with keys and caps, and the platform states priorities, versions and slots that were not decoded. The parts that use them are built side by side and need the same types.

Decoded now: organisations with digests of their keys, priority and public routes, version and slots of upstreams, and the bounds of draining, configuration, evacuation, caps and roll-outs. Deltas of the desired state carry organisations.

--- a/crates/cornelwinch_relay/src/dialect.rs
+++ b/crates/cornelwinch_relay/src/dialect.rs
@@ -36,6 +36,8 @@
     pub missing_parts: HeaderName,
     /// Time for which an upstream stays cold, in milliseconds.
     pub cold_ms: HeaderName,
+    /// Name of the organisation on whose behalf an upstream runs the request.
+    pub organisation: HeaderName,
 }
 
 /// Kinds of objects in the platform's store.
--- a/crates/cornelwinch_relay/src/settings.rs
+++ b/crates/cornelwinch_relay/src/settings.rs
@@ -63,6 +63,9 @@
     /// Memory that the process may use, in MiB.
     #[serde(default = "default_memory")]
     pub memory_mb: u64,
+    /// How the upstream of a leg is chosen.
+    #[serde(default)]
+    pub placement: PlacementMode,
     /// Lowest level of logged events.
     #[serde(default)]
     pub log: LogLevel,
@@ -87,6 +90,59 @@
     pub cold_overshoot: f64,
     /// Requests per second that all hosts together may send in addition.
     pub cold_slack: f64,
+    /// Time from the registration that an upstream leaves to its last request, in milliseconds.
+    #[serde(default)]
+    pub drain_ms: Option<u64>,
+    /// Time within which a version of the desired state is in force, in milliseconds.
+    #[serde(default)]
+    pub config_apply_ms: Option<u64>,
+    /// Time within which the upstreams of an evacuated zone get nothing more, in milliseconds.
+    #[serde(default)]
+    pub evacuation_ms: Option<u64>,
+    /// Bounds of the caps of organisations; without them, caps are not enforced.
+    #[serde(default)]
+    pub cap: Option<CapBounds>,
+    /// Bounds of roll-outs; without them, orders are not followed.
+    #[serde(default)]
+    pub rollout: Option<RolloutBounds>,
+}
+
+/// How far the requests of an organisation may exceed its cap.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CapBounds {
+    /// Length of the sliding window, in seconds.
+    pub window_s: f64,
+    /// Share of the cap in a window that may come in addition.
+    pub overshoot: f64,
+    /// Number of requests in a window that may come in addition.
+    pub slack: f64,
+}
+
+/// Bounds of the requests that a new version of a service gets before it is accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RolloutBounds {
+    /// Largest share of the service's requests that a bad version may get.
+    pub exposure_ratio: f64,
+    /// Number of requests that it may get in addition.
+    pub exposure_slack: f64,
+    /// Time from the 50th bad answer to the last request, in milliseconds.
+    pub rollback_ms: u64,
+}
+
+/// How the upstream of a leg is chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PlacementMode {
+    /// By recent slowness and the number of legs in flight.
+    #[default]
+    Latency,
+    /// By the expected time to the answer.
+    ExpectedWork,
+    /// By the expected time to the answer for services whose learned speeds or costs are uneven,
+    /// and as [`Latency`](Self::Latency) for the others.
+    Learned,
 }
 
 /// Lowest level of logged events.
@@ -164,6 +220,27 @@
                 return Err(format!("bounds.{key} must be 0 or more, not {value}"));
             }
         }
+        let optional = [
+            ("cap.window_s", self.cap.map(|cap| cap.window_s)),
+            ("cap.overshoot", self.cap.map(|cap| cap.overshoot)),
+            ("cap.slack", self.cap.map(|cap| cap.slack)),
+            (
+                "rollout.exposure_ratio",
+                self.rollout.map(|r| r.exposure_ratio),
+            ),
+            (
+                "rollout.exposure_slack",
+                self.rollout.map(|r| r.exposure_slack),
+            ),
+        ];
+        for (key, value) in optional {
+            if value.is_some_and(|value| !value.is_finite() || value < 0.0) {
+                return Err(format!("bounds.{key} must be 0 or more, not {value:?}"));
+            }
+        }
+        if self.cap.is_some_and(|cap| cap.window_s == 0.0) {
+            return Err("bounds.cap.window_s must be above 0".to_owned());
+        }
         if self.stable_ms == 0 {
             return Err("bounds.stable_ms must be above 0".to_owned());
         }
--- a/crates/cornelwinch_routing/src/change.rs
+++ b/crates/cornelwinch_routing/src/change.rs
@@ -1,7 +1,7 @@
 use cornelwinch_types::{Name, SortedMap};
 use serde::{Deserialize, Serialize};
 
-use crate::{CallerLimits, DesiredState, Route, Service};
+use crate::{CallerLimits, DesiredState, Organisation, Route, Service};
 
 /// Difference between two versions of the desired state. Sending it instead of the
 /// whole state saves bytes when few of many routes change.
@@ -11,6 +11,7 @@
 ///
 /// let state = |version| DesiredState {
 ///     version, routes: vec![], services: vec![], limits: CallerLimits::default(),
+///     organisations: None,
 /// };
 /// let delta = DesiredStateDelta::between(&state(3), &state(7)).unwrap();
 /// assert_eq!(delta.apply(&state(3)), Some(state(7)));
@@ -25,6 +26,9 @@
     limits: CallerLimits,
     routes: EntriesDelta<Route>,
     services: EntriesDelta<Service>,
+    /// `None` if the new version has no organisations.
+    #[serde(default)]
+    organisations: Option<EntriesDelta<Organisation>>,
 }
 
 /// Entries of one kind that differ between two versions.
@@ -44,6 +48,10 @@
             limits: new.limits,
             routes: EntriesDelta::between(&old.routes, &new.routes, |route| &route.name)?,
             services: EntriesDelta::between(&old.services, &new.services, |service| &service.name)?,
+            organisations: match &new.organisations {
+                Some(new) => Some(EntriesDelta::between(organisations(old), new, |o| &o.name)?),
+                None => None,
+            },
         })
     }
 
@@ -55,6 +63,10 @@
             limits: self.limits,
             routes: self.routes.apply(&old.routes, |route| &route.name),
             services: self.services.apply(&old.services, |service| &service.name),
+            organisations: self
+                .organisations
+                .as_ref()
+                .map(|delta| delta.apply(organisations(old), |o| &o.name)),
         })
     }
 
@@ -91,6 +103,10 @@
     }
 }
 
+fn organisations(state: &DesiredState) -> &[Organisation] {
+    state.organisations.as_deref().unwrap_or_default()
+}
+
 fn by_name<T>(values: &[T], name: fn(&T) -> &Name) -> SortedMap<Name, &T> {
     let mut map = SortedMap::new();
     for value in values {
--- a/crates/cornelwinch_routing/src/desired.rs
+++ b/crates/cornelwinch_routing/src/desired.rs
@@ -3,6 +3,8 @@
 use cornelwinch_types::Name;
 use serde::{Deserialize, Serialize};
 
+use crate::Organisation;
+
 /// One version of the routes and services that operators have configured.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct DesiredState {
@@ -14,6 +16,9 @@
     pub services: Vec<Service>,
     /// Limits on requests and connections of callers.
     pub limits: CallerLimits,
+    /// Organisations, in any order; `None` if callers have no keys.
+    #[serde(default)]
+    pub organisations: Option<Vec<Organisation>>,
 }
 
 /// Whether requests of a route may be repeated.
@@ -44,6 +49,12 @@
     pub timeout: Duration,
     /// Latency goal: an answer within this time has its full value.
     pub goal: Duration,
+    /// Priority, 0 being the most urgent.
+    #[serde(default)]
+    pub priority: u32,
+    /// Whether requests need no key although there are organisations.
+    #[serde(default)]
+    pub is_public: bool,
 }
 
 /// Upstreams that get the requests of a route.
--- a/crates/cornelwinch_routing/src/table.rs
+++ b/crates/cornelwinch_routing/src/table.rs
@@ -11,6 +11,7 @@
 ///
 /// let state = DesiredState {
 ///     version: 1, routes: vec![], services: vec![], limits: CallerLimits::default(),
+///     organisations: None,
 /// };
 /// let table = RouteTable::new(state);
 /// assert_eq!(table.find("search.example", "/titles/"), RouteLookup::NoRoute);
--- a/crates/cornelwinch_routing/src/upstream.rs
+++ b/crates/cornelwinch_routing/src/upstream.rs
@@ -41,6 +41,12 @@
     pub state: UpstreamState,
     /// Remaining time for which the upstream is cold.
     pub cold_left: Duration,
+    /// Version of its software; empty if it states none.
+    #[serde(default)]
+    pub version: Name,
+    /// Requests that it runs at a time; 0 if it states none.
+    #[serde(default)]
+    pub slots: u32,
 }
 
 /// The upstream that was chosen for a leg or a probe.
--- a/crates/cornelwinch_routing/tests/desired_change.rs
+++ b/crates/cornelwinch_routing/tests/desired_change.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use cornelwinch_routing::{
-    CallerLimits, DesiredState, DesiredStateDelta, GatherPlan, Route, RouteKind, Service, Target,
+    CallerLimits, Cap, DesiredState, DesiredStateDelta, GatherPlan, KeyDigest, Organisation, Route,
+    RouteKind, Service, Target,
 };
 
 /// Number of names from which random versions choose.
@@ -28,6 +29,8 @@
         attempts: rng.u32(1..3),
         timeout: Duration::from_secs(1),
         goal: Duration::from_millis(100),
+        priority: rng.u32(0..3),
+        is_public: rng.bool(),
     }
 }
 
@@ -35,6 +38,7 @@
 fn random_state(rng: &mut fastrand::Rng, version: u64) -> DesiredState {
     let mut routes = Vec::new();
     let mut services = Vec::new();
+    let mut organisations = Vec::new();
     for n in 0..NAME_COUNT {
         if rng.bool() {
             routes.push(random_route(rng, n));
@@ -46,7 +50,19 @@
                 cold_per_s: None,
             });
         }
+        if rng.bool() {
+            organisations.push(Organisation {
+                name: format!("o{n}").into(),
+                keys: vec![KeyDigest::of(&[rng.u8(..)])],
+                priority: None,
+                cap: rng.bool().then_some(Cap {
+                    rate_per_s: 10.0,
+                    burst: 5.0,
+                }),
+            });
+        }
     }
+    organisations.sort_by(|a, b| a.name.cmp(&b.name));
     routes.sort_by(|a, b| a.name.cmp(&b.name));
     services.sort_by(|a, b| a.name.cmp(&b.name));
     DesiredState {
@@ -57,6 +73,7 @@
             body_bytes: rng.usize(1..3),
             ..CallerLimits::default()
         },
+        organisations: rng.bool().then_some(organisations),
     }
 }
 
--- a/crates/cornelwinch_routing/tests/fleet_choice.rs
+++ b/crates/cornelwinch_routing/tests/fleet_choice.rs
@@ -20,6 +20,8 @@
         zone: zone.into(),
         state: UpstreamState::Ready,
         cold_left: Duration::ZERO,
+        version: "v1".into(),
+        slots: 4,
     }
 }
 
--- a/crates/cornelwinch_routing/tests/host_permits.rs
+++ b/crates/cornelwinch_routing/tests/host_permits.rs
@@ -78,6 +78,8 @@
             zone: "z1".into(),
             state: UpstreamState::Ready,
             cold_left: Duration::from_secs(3),
+            version: "v1".into(),
+            slots: 4,
         };
         fleet.apply(now, entry);
         let mut rng = fastrand::Rng::with_seed(1);
--- a/crates/cornelwinch_routing/tests/plant/mod.rs
+++ b/crates/cornelwinch_routing/tests/plant/mod.rs
@@ -170,6 +170,8 @@
                     zone: format!("z{}", (shard + replica) % 4).into(),
                     state: UpstreamState::Ready,
                     cold_left: Duration::ZERO,
+                    version: "v1".into(),
+                    slots: 4,
                 });
             }
         }
--- a/crates/cornelwinch_routing/tests/withdrawn_upstreams.rs
+++ b/crates/cornelwinch_routing/tests/withdrawn_upstreams.rs
@@ -21,6 +21,8 @@
         zone: "a".into(),
         state: UpstreamState::Ready,
         cold_left: Duration::ZERO,
+        version: "v1".into(),
+        slots: 4,
     }
 }
 
