relay: requests are identified by the keys of organisations

Cause: a desired state with organisations was decoded but not enforced; any caller was served, and its key and claimed organisation reached upstreams.

Change: `OrganisationTable` is built with each version and finds the organisation of a key. A request without a known key to a route that is not public gets 401 before its body is read. Upstreams get the organisation's name and never the key. Without organisations all headers stay as they are.

--- a/crates/cornelwinch_relay/src/apply.rs
+++ b/crates/cornelwinch_relay/src/apply.rs
@@ -52,6 +52,7 @@
         state.routes.len(),
         state.services.len()
     );
+    core.set_organisations(&state);
     core.table = Some(Rc::new(RouteTable::new(state)));
 }
 
--- a/crates/cornelwinch_relay/src/core.rs
+++ b/crates/cornelwinch_relay/src/core.rs
@@ -1,14 +1,15 @@
 use std::time::{Duration, Instant};
 
 use cornelwinch_routing::{
-    CrashTracker, Fleet, GatherPlan, HostPermits, RetryBudget, Route, RouteTable, Service, Target,
-    UpstreamLimits, WeightedRoundRobin,
+    CrashTracker, Fleet, GatherPlan, HostPermits, IndexKey, OrganisationTable, RetryBudget, Route,
+    RouteTable, Service, Target, UpstreamLimits, WeightedRoundRobin,
 };
 use cornelwinch_types::{Name, SortedMap};
 use std::rc::Rc;
 
 use crate::Bounds;
 use crate::gather_limits::GatherLimits;
+use crate::keys::random_index_key;
 use crate::line_limit::LineLimit;
 use crate::metrics::Metrics;
 
@@ -33,6 +34,9 @@
 #[derive(Debug)]
 pub(crate) struct Core {
     pub(crate) table: Option<Rc<RouteTable>>,
+    /// Organisations of the version in `table`; `None` if callers have no keys.
+    pub(crate) organisations: Option<Rc<OrganisationTable>>,
+    pub(crate) index_key: IndexKey,
     pub(crate) fleet: Fleet,
     pub(crate) budget: RetryBudget,
     pub(crate) crash_tracker: CrashTracker,
@@ -54,6 +58,8 @@
         fleet.set_hosts(HostPermits::new(this_host, Vec::new(), DEFAULT_HOST_COUNT));
         Self {
             table: None,
+            organisations: None,
+            index_key: random_index_key(),
             fleet,
             budget: RetryBudget::new(Instant::now()),
             crash_tracker: CrashTracker::default(),
--- a/crates/cornelwinch_relay/src/dialect.rs
+++ b/crates/cornelwinch_relay/src/dialect.rs
@@ -13,6 +13,9 @@
     pub headers: HeaderNames,
     /// Paths, requests and decoders of the platform's store.
     pub store: StoreApi,
+    /// Returns the key in the value of the header [`HeaderNames::key`], or `None` if it holds
+    /// none.
+    pub caller_key: for<'a> fn(value: &'a [u8]) -> Option<&'a [u8]>,
 }
 
 /// Names of the headers that callers, hosts and upstreams exchange.
@@ -36,6 +39,8 @@
     pub missing_parts: HeaderName,
     /// Time for which an upstream stays cold, in milliseconds.
     pub cold_ms: HeaderName,
+    /// Carries the key of a caller.
+    pub key: HeaderName,
     /// Name of the organisation on whose behalf an upstream runs the request.
     pub organisation: HeaderName,
 }
--- a/crates/cornelwinch_relay/src/handle.rs
+++ b/crates/cornelwinch_relay/src/handle.rs
@@ -15,6 +15,7 @@
 
 use crate::answer::Reply;
 use crate::headers::{millis, strip_hop_by_hop};
+use crate::keys::Sender;
 use crate::leg::OutgoingRequest;
 use crate::scatter::answer_scatter;
 use crate::shared::Shared;
@@ -93,19 +94,32 @@
         start,
         answered: false,
     };
-    let table = shared.core.borrow().table.clone();
+    let (table, organisations) = {
+        let core = shared.core.borrow();
+        (core.table.clone(), core.organisations.clone())
+    };
     let version = table.as_ref().map_or(0, |table| table.version());
     let route = table.as_deref().map(|table| find_route(table, &request));
-    let reply = match (&table, &route) {
-        (Some(_), Some(Ok(route))) if stops_before_goal(&shared, route, start) => {
+    let sender = match &route {
+        Some(Ok(route)) => Sender::identify(
+            organisations.as_deref(),
+            &shared.dialect,
+            route,
+            request.headers(),
+        ),
+        _ => Ok(Sender::NoKeys),
+    };
+    let reply = match (&table, &route, sender) {
+        (Some(_), Some(Ok(_)), Err(reason)) => Reply::rejected(StatusCode::UNAUTHORIZED, reason),
+        (Some(_), Some(Ok(route)), Ok(_)) if stops_before_goal(&shared, route, start) => {
             Reply::not_run("stopping")
         }
-        (Some(table), Some(Ok(route))) => tokio::select! {
+        (Some(table), Some(Ok(route)), Ok(sender)) => tokio::select! {
             biased;
-            reply = answer(&shared, table, route.clone(), request, start) => reply,
+            reply = answer(&shared, table, route.clone(), sender, request, start) => reply,
             () = shared.stop_due() => Reply::timed_out("stopping"),
         },
-        (_, Some(Err(reason))) => Reply::rejected(StatusCode::NOT_FOUND, reason),
+        (_, Some(Err(reason)), _) => Reply::rejected(StatusCode::NOT_FOUND, reason),
         _ => Reply::not_run("no_configuration"),
     };
     guard.answered = true;
@@ -180,6 +194,7 @@
     shared: &Rc<Shared>,
     table: &RouteTable,
     route: Arc<Route>,
+    sender: Sender,
     request: Request<Incoming>,
     start: Instant,
 ) -> Reply {
@@ -213,6 +228,7 @@
     };
     let mut headers = head.headers;
     strip_hop_by_hop(&mut headers);
+    sender.replace_key(&shared.dialect, &mut headers);
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let Ok(uri) = path.parse() else {
         return Reply::rejected(StatusCode::BAD_REQUEST, "path");
--- a/crates/cornelwinch_relay/src/lib.rs
+++ b/crates/cornelwinch_relay/src/lib.rs
@@ -20,6 +20,7 @@
 mod handle;
 mod headers;
 mod ingest;
+mod keys;
 mod leg;
 mod line_limit;
 mod logging;
--- a/crates/cornelwinch_routing/src/lib.rs
+++ b/crates/cornelwinch_routing/src/lib.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod health;
 mod organisation;
+mod organisation_table;
 mod overload;
 mod permits;
 mod return_schedule;
@@ -28,6 +29,7 @@
 pub use fleet::Fleet;
 pub use health::{HealthSignal, UpstreamHealth};
 pub use organisation::{Cap, KeyDigest, Organisation};
+pub use organisation_table::{IndexKey, OrganisationProfile, OrganisationTable};
 pub use overload::{GatherLimit, GatherOutcome};
 pub use permits::HostPermits;
 pub use return_schedule::ReturnSchedule;
