relay: don't pass on a stamped 503, 429, 408 or 421 that states no refusal

Cause: a response with a stamp and without Not-Executed was returned whatever its status. Callers take 503, 429, 408 and 421 as a guarantee that the request has not run, so a request that had run and failed with 503 ran twice. A stamped 421 was treated as not run although only an unstamped one comes from another upstream.

Change: `judge` in verdict.rs decides from status, stamp and Not-Executed. Such a response counts as a request that may have run: another upstream if the route is idempotent, else 502 without the stamp.

--- a/crates/cornelwinch_relay/src/leg.rs
+++ b/crates/cornelwinch_relay/src/leg.rs
@@ -12,6 +12,7 @@
 use crate::body::{MAX_FRAMING_BYTES, TooLarge, read_body};
 use crate::headers::{is_closing, keep_alive_timeout, millis, millis_value, retry_after};
 use crate::shared::Shared;
+use crate::verdict::{Verdict, judge};
 
 /// Multiple of the median leg time from which a cancelled leg counts as timed out by its upstream.
 const TIMED_OUT_LATENCY_RATIO: f64 = 3.0;
@@ -312,20 +313,20 @@
 /// whose time tells the upstream's health.
 fn judge_answer(shared: &Shared, head: Parts, body: Bytes) -> (LegOutcome, Option<HealthSignal>) {
     let names = &shared.dialect.headers;
-    if head.status == StatusCode::MISDIRECTED_REQUEST {
-        return (
-            LegOutcome::NotRun(NotRunReason::Misdirected),
-            Some(HealthSignal::Misdirected),
-        );
-    }
-    if head.headers.contains_key(&names.not_executed) {
-        return (
-            LegOutcome::NotRun(NotRunReason::Refused),
-            Some(HealthSignal::Refused),
-        );
-    }
-    if !head.headers.contains_key(&names.server_stamp) {
-        return (LegOutcome::Lost("unstamped"), Some(HealthSignal::Failed));
+    let is_stamped = head.headers.contains_key(&names.server_stamp);
+    let is_not_executed = head.headers.contains_key(&names.not_executed);
+    match judge(head.status, is_stamped, is_not_executed) {
+        Verdict::Ran => {}
+        Verdict::NotRun(reason) => {
+            let signal = match reason {
+                NotRunReason::Misdirected => HealthSignal::Misdirected,
+                _ => HealthSignal::Refused,
+            };
+            return (LegOutcome::NotRun(reason), Some(signal));
+        }
+        Verdict::MayHaveRun(reason) => {
+            return (LegOutcome::Lost(reason), Some(HealthSignal::Failed));
+        }
     }
     if head.headers.contains_key(header::CONTENT_ENCODING) {
         return (LegOutcome::Lost("encoded"), Some(HealthSignal::Failed));
--- a/crates/cornelwinch_relay/src/lib.rs
+++ b/crates/cornelwinch_relay/src/lib.rs
@@ -38,6 +38,7 @@
 mod store_health;
 mod subscribe;
 mod sync;
+mod verdict;
 
 pub use dialect::{
     Dialect, HeaderNames, ObjectKind, ObjectPage, ObjectProblem, ObjectValue, StoreApi,
