routing, relay: keep the quarantine over restarts and share that its request is still seen

Cause: a new process knew none of the requests that crash upstreams. A quarantine ended 60 s after the last crash on all hosts at once, and refused requests did not prolong it.

Change: a source sends its marks with their age before its lists; a usual source, which nobody feeds, asks other hosts on the path /marks until one has answered, and is ready at most 250 ms later for it. A quarantined request that is still seen prolongs the quarantine on all hosts, reported by each once in 10 s at most. After its end the hosts take turns of 3 s to release one attempt; a release without an answer prolongs it to 8 times as long, and an answer ends it on all hosts. At most 1,024 marks are copied, and a mark is forgotten an hour after its end.

--- a/crates/cornelwinch_relay/src/apply.rs
+++ b/crates/cornelwinch_relay/src/apply.rs
@@ -125,7 +125,9 @@
     let count = core.host_count();
     let this_host = shared.settings.borrow().host.clone();
     core.fleet
-        .set_hosts(HostPermits::new(this_host, hosts.clone(), count));
+        .set_hosts(HostPermits::new(this_host.clone(), hosts.clone(), count));
+    let place = hosts.iter().filter(|host| host.name < this_host).count();
+    core.crash_tracker.set_place(place, hosts.len());
     drop(core);
     *shared.hosts.borrow_mut() = hosts;
 }
--- a/crates/cornelwinch_relay/src/feed.rs
+++ b/crates/cornelwinch_relay/src/feed.rs
@@ -13,6 +13,7 @@
 
 use crate::dialect::ObjectKind;
 use crate::feed_message::{FED_KINDS, FeedMessage, encode};
+use crate::marks::{MARKS_PATH, send_marks};
 use crate::shared::Shared;
 
 /// Interval between two heartbeats of a source.
@@ -76,6 +77,7 @@
     match path.as_str() {
         FEED_PATH => feed_host(shared, socket).await,
         REPORT_PATH => receive_reports(shared, socket).await,
+        MARKS_PATH => send_marks(shared, socket).await,
         _ => format!("no_path_{path}"),
     }
 }
@@ -125,7 +127,17 @@
     // between would be lost.
     let mut changes = shared.feed.subscribe();
     let mut bytes = 0;
-    for message in catch_up_messages(shared, &revisions) {
+    // The marks come first, so that a new host has them before it can serve.
+    let reports = shared
+        .core
+        .borrow()
+        .crash_tracker
+        .copy_marks(Instant::now());
+    let marks = (!reports.is_empty()).then_some(FeedMessage::Crashes { reports });
+    for message in marks
+        .into_iter()
+        .chain(catch_up_messages(shared, &revisions))
+    {
         let buf = encode(&message);
         bytes += buf.len();
         if let Err(reason) = send(&mut socket, buf).await {
--- a/crates/cornelwinch_relay/src/feed_message.rs
+++ b/crates/cornelwinch_relay/src/feed_message.rs
@@ -53,6 +53,12 @@
     },
     /// Reports of requests that crashed upstreams.
     Crashes { reports: Vec<CrashReport> },
+    /// What a host knows of requests that crash upstreams, for one that has just started.
+    Marks {
+        reports: Vec<CrashReport>,
+        /// True if the sender has got the marks of other hosts since it started.
+        is_settled: bool,
+    },
     /// Heartbeat of the source.
     Beat {
         /// Time since the source last got an answer from the store.
@@ -100,6 +106,7 @@
                 write!(f, "message=version version={}", change.version())
             }
             Self::Crashes { reports } => write!(f, "message=crashes items={}", reports.len()),
+            Self::Marks { reports, .. } => write!(f, "message=marks items={}", reports.len()),
             Self::Beat { age_ms, .. } => write!(f, "message=beat age_ms={age_ms}"),
         }
     }
--- a/crates/cornelwinch_relay/src/handle.rs
+++ b/crates/cornelwinch_relay/src/handle.rs
@@ -218,12 +218,11 @@
         return Reply::rejected(StatusCode::BAD_REQUEST, "path");
     };
     let fingerprint = RequestFingerprint::of_bytes(path.as_bytes(), &body);
-    if shared
-        .core
-        .borrow()
-        .crash_tracker
-        .is_quarantined(start, fingerprint)
-    {
+    let is_admitted = {
+        let mut core = shared.core.borrow_mut();
+        core.crash_tracker.admit(start, fingerprint)
+    };
+    if !is_admitted {
         return Reply::not_run("crashes_upstreams");
     }
     let deadline = start + time;
--- a/crates/cornelwinch_relay/src/lib.rs
+++ b/crates/cornelwinch_relay/src/lib.rs
@@ -24,6 +24,7 @@
 mod leg;
 mod line_limit;
 mod logging;
+mod marks;
 mod metrics;
 mod mirror;
 mod operator;
--- a/crates/cornelwinch_relay/src/relay.rs
+++ b/crates/cornelwinch_relay/src/relay.rs
@@ -15,6 +15,7 @@
 use crate::error::{BindSnafu, ProcessSnafu, RelayError};
 use crate::feed::serve_feed;
 use crate::logging::{FLUSH_INTERVAL, LogHandle};
+use crate::marks::get_marks;
 use crate::operator::{answer_metrics, answer_readiness, serve_http};
 use crate::report::report_crashes;
 use crate::settings::RelaySettings;
@@ -78,6 +79,7 @@
     tokio::task::spawn_local(serve_http(shared.clone(), metrics, answer_metrics));
     tokio::task::spawn_local(clean_up(shared.clone()));
     tokio::task::spawn_local(report_crashes(shared.clone()));
+    tokio::task::spawn_local(get_marks(shared.clone()));
     tokio::task::spawn_local(probe_lost(shared.clone()));
     Ok(Relay {
         shared,
--- a/crates/cornelwinch_relay/src/shared.rs
+++ b/crates/cornelwinch_relay/src/shared.rs
@@ -20,6 +20,10 @@
 /// Number of messages by which a subscriber may lag before its connection is closed.
 const FEED_QUEUE_MESSAGES: usize = 256;
 
+/// Longest time after the start for which a host that could serve waits for the marks of other
+/// hosts. It gets them within milliseconds unless the first host that it asks is silent.
+const MARKS_WAIT: Duration = Duration::from_millis(250);
+
 /// Connection limit of an upstream whose service is not in the desired state.
 const DEFAULT_UPSTREAM_CONNECTIONS: usize = 4;
 
@@ -45,6 +49,10 @@
     pub(crate) store_health: StoreHealth,
     /// Sends encoded messages to the hosts that this one feeds.
     pub(crate) feed: broadcast::Sender<Bytes>,
+    /// Time at which this process started.
+    started: Instant,
+    /// True once this host has asked the others which requests crash upstreams.
+    pub(crate) has_marks: Cell<bool>,
     /// Number of checks in progress whether an upstream crashed.
     pub(crate) crash_checks: Cell<usize>,
     is_source: Cell<bool>,
@@ -69,6 +77,8 @@
             hosts: RefCell::default(),
             store_health: StoreHealth::default(),
             feed: broadcast::channel(FEED_QUEUE_MESSAGES).0,
+            started: Instant::now(),
+            has_marks: Cell::new(false),
             crash_checks: Cell::new(0),
             is_source: Cell::new(false),
             last_feed: Cell::new(None),
@@ -101,8 +111,10 @@
         self.is_source.set(is_source);
     }
 
-    /// Records a heartbeat from a source that is up to date with the store.
+    /// Records a heartbeat from a source that is up to date with the store. The source has sent its
+    /// marks before.
     pub(crate) fn record_feed(&self, now: Instant) {
+        self.has_marks.set(true);
         self.last_feed.set(Some(now));
     }
 
@@ -201,6 +213,9 @@
         if self.is_stopping() || core.fleet.is_empty() {
             return false;
         }
+        if !self.has_marks.get() && now.saturating_duration_since(self.started) < MARKS_WAIT {
+            return false;
+        }
         let can_serve_all = || {
             table
                 .routes()
--- a/crates/cornelwinch_relay/src/subscribe.rs
+++ b/crates/cornelwinch_relay/src/subscribe.rs
@@ -128,7 +128,7 @@
 
 fn apply_message(shared: &Shared, message: FeedMessage) -> Result<(), FeedEnd> {
     match message {
-        FeedMessage::Hello { .. } | FeedMessage::Known { .. } => {}
+        FeedMessage::Hello { .. } | FeedMessage::Known { .. } | FeedMessage::Marks { .. } => {}
         FeedMessage::List {
             kind,
             revision,
--- a/crates/cornelwinch_routing/src/crashes.rs
+++ b/crates/cornelwinch_routing/src/crashes.rs
@@ -20,9 +20,39 @@
 /// upstreams after the one that causes the third crash, if each reaches another upstream.
 const QUARANTINE_CUT_ATTEMPTS: usize = 3;
 
-/// Time after which a disconnect, a quarantine or an answer expires.
+/// Time after which a disconnect or an answer expires, and for which a request stays quarantined
+/// after it was last seen.
 const RECORD_TTL: Duration = Duration::from_secs(60);
 
+/// Factor by which each release that ended without an answer prolongs the quarantine. The third
+/// release is over an hour after the first mark.
+const HOLD_FACTOR: u32 = 8;
+
+/// Number of releases that prolong the quarantine.
+const MAX_RELEASES: u32 = 3;
+
+/// Time in which only one host may release a request whose quarantine has ended; the hosts take
+/// turns. A host releases in the first half of its turn, so that the others know of it at the start
+/// of the next one: the delay and interval of reports, and the way through a source.
+const RELEASE_TURN: Duration = Duration::from_secs(3);
+
+/// Time after the end of a quarantine at which it is forgotten.
+const MARK_TTL: Duration = Duration::from_secs(3_600);
+
+/// Time after which the first host tells the others again that it sees a quarantined request. A
+/// host that was told does not repeat it, so the rate hardly grows with the number of hosts.
+const SEEN_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Time by which each further host waits longer, which is how long a report takes.
+const SEEN_STEP: Duration = Duration::from_secs(1);
+
+/// Number of steps by which a host waits at most. A request that keeps coming at one host is
+/// reported within [`RECORD_TTL`] whatever its interval.
+const MAX_SEEN_STEPS: u32 = 15;
+
+/// Maximum number of marks that a new host gets.
+const MAX_COPIED_MARKS: usize = 1_024;
+
 /// Maximum number of suspects.
 const MAX_SUSPECTS: usize = 4_096;
 
@@ -51,6 +81,15 @@
     /// Upstreams whose connection ended before the end of the answer; includes `upstreams`.
     #[serde(default)]
     pub cuts: Vec<Fingerprint>,
+    /// Time since the request was last seen.
+    #[serde(default)]
+    pub age_ms: u64,
+    /// Number of times that the quarantine was released without an answer.
+    #[serde(default)]
+    pub releases: u32,
+    /// True if an upstream has answered the request, which ends the quarantine.
+    #[serde(default)]
+    pub is_answered: bool,
 }
 
 #[derive(Debug)]
@@ -62,6 +101,8 @@
     /// Upstreams whose connection ended before the end of the answer.
     cuts: Vec<Fingerprint>,
     last: Instant,
+    /// Number of times that the quarantine was released without an answer.
+    releases: u32,
     /// True if a disconnect on this host has not been reported yet.
     is_unreported: bool,
 }
@@ -72,6 +113,33 @@
         self.upstreams.len() >= QUARANTINE_UPSTREAMS && attempts >= QUARANTINE_ATTEMPTS
             || self.cuts.len() >= QUARANTINE_CUTS && attempts >= QUARANTINE_CUT_ATTEMPTS
     }
+
+    /// Returns the time for which the request is refused after it was last seen.
+    fn hold(&self) -> Duration {
+        RECORD_TTL * HOLD_FACTOR.pow(self.releases.min(MAX_RELEASES))
+    }
+
+    fn is_expired(&self, now: Instant) -> bool {
+        let ttl = if self.is_quarantined() {
+            self.hold() + MARK_TTL
+        } else {
+            RECORD_TTL
+        };
+        now.saturating_duration_since(self.last) >= ttl
+    }
+
+    fn report(&self, now: Instant, fingerprint: RequestFingerprint) -> CrashReport {
+        let age = now.saturating_duration_since(self.last);
+        CrashReport {
+            fingerprint,
+            upstreams: self.upstreams.clone(),
+            attempts: self.attempts.clone(),
+            cuts: self.cuts.clone(),
+            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            releases: self.releases,
+            is_answered: false,
+        }
+    }
 }
 
 /// Adds a value to a list unless the list contains it or has `limit` entries.
@@ -106,6 +174,10 @@
     suspects: SortedMap<RequestFingerprint, Suspect>,
     /// Answered requests and the time of their last answer, indexed by slot.
     answered: Vec<Option<(RequestFingerprint, Instant)>>,
+    /// Requests that were answered after a release, not yet reported as such.
+    cleared: Vec<RequestFingerprint>,
+    /// Place of this host among all hosts, and their number.
+    place: (usize, usize),
 }
 
 impl Default for CrashTracker {
@@ -113,6 +185,8 @@
         Self {
             suspects: SortedMap::new(),
             answered: vec![None; ANSWER_SLOTS],
+            cleared: Vec::new(),
+            place: (0, 1),
         }
     }
 }
@@ -166,10 +240,21 @@
     /// Records the report of another host. Returns true if this puts the request in
     /// quarantine.
     pub fn record_report(&mut self, now: Instant, report: &CrashReport) -> bool {
-        let Some(suspect) = self.suspect(now, report.fingerprint) else {
+        if report.is_answered {
+            self.suspects.remove(&report.fingerprint);
+            self.set_answered(now, report.fingerprint);
+            return false;
+        }
+        let age = Duration::from_millis(report.age_ms);
+        // An age beyond the start of the clock comes from a faulty host.
+        let Some(seen) = now.checked_sub(age) else {
+            return false;
+        };
+        let Some(suspect) = self.suspect_at(now, seen, report.fingerprint) else {
             return false;
         };
         let was_quarantined = suspect.is_quarantined();
+        suspect.releases = suspect.releases.max(report.releases.min(MAX_RELEASES));
         for upstream in &report.upstreams {
             add_distinct(&mut suspect.upstreams, *upstream, QUARANTINE_UPSTREAMS);
         }
@@ -183,34 +268,63 @@
     }
 
     /// Returns the reports that are due for other hosts. A request is reported again only
-    /// after another disconnect on this host.
+    /// after another disconnect on this host, or if it is quarantined and still seen.
     pub fn take_due_reports(&mut self, now: Instant) -> Vec<CrashReport> {
         let is_due = |suspect: &Suspect| {
             suspect.is_unreported && now.saturating_duration_since(suspect.last) >= REPORT_DELAY
         };
+        let cleared = self.cleared.drain(..).map(|fingerprint| CrashReport {
+            fingerprint,
+            upstreams: Vec::new(),
+            attempts: Vec::new(),
+            cuts: Vec::new(),
+            age_ms: 0,
+            releases: 0,
+            is_answered: true,
+        });
+        let mut reports: Vec<CrashReport> = cleared.collect();
         let due = self.suspects.iter_mut().filter(|(_, s)| is_due(s));
-        due.map(|(fingerprint, suspect)| {
+        reports.extend(due.map(|(fingerprint, suspect)| {
             suspect.is_unreported = false;
-            CrashReport {
-                fingerprint: *fingerprint,
-                upstreams: suspect.upstreams.clone(),
-                attempts: suspect.attempts.clone(),
-                cuts: suspect.cuts.clone(),
-            }
-        })
-        .collect()
+            suspect.report(now, *fingerprint)
+        }));
+        reports
+    }
+
+    /// Returns reports of the requests that were seen last, for a host that has just started.
+    pub fn copy_marks(&self, now: Instant) -> Vec<CrashReport> {
+        let live = self.suspects.iter().filter(|(_, s)| !s.is_expired(now));
+        let mut marks: Vec<CrashReport> = live.map(|(f, s)| s.report(now, *f)).collect();
+        marks.sort_by_key(|mark| mark.age_ms);
+        marks.truncate(MAX_COPIED_MARKS);
+        marks
+    }
+
+    /// Sets the place of this host in an order of all hosts, and their number. It decides which
+    /// host first releases a request whose quarantine ends on all hosts at once.
+    pub fn set_place(&mut self, place: usize, hosts: usize) {
+        self.place = (place, hosts.max(1));
+    }
+
+    fn suspect(&mut self, now: Instant, fingerprint: RequestFingerprint) -> Option<&mut Suspect> {
+        self.suspect_at(now, now, fingerprint)
     }
 
     /// Returns the suspect of a request without its expired records; `None` if the
     /// request was recently answered or there are too many suspects.
-    fn suspect(&mut self, now: Instant, fingerprint: RequestFingerprint) -> Option<&mut Suspect> {
+    fn suspect_at(
+        &mut self,
+        now: Instant,
+        seen: Instant,
+        fingerprint: RequestFingerprint,
+    ) -> Option<&mut Suspect> {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < RECORD_TTL;
         let answered = self.answered[fingerprint.slot(ANSWER_SLOTS)];
         if answered.is_some_and(|(known, at)| known == fingerprint && is_recent(at)) {
             return None;
         }
         if self.suspects.len() >= MAX_SUSPECTS {
-            self.suspects.retain(|_, suspect| is_recent(suspect.last));
+            self.suspects.retain(|_, suspect| !suspect.is_expired(now));
             if self.suspects.len() >= MAX_SUSPECTS {
                 return None;
             }
@@ -219,28 +333,84 @@
             upstreams: Vec::new(),
             attempts: Vec::new(),
             cuts: Vec::new(),
-            last: now,
+            last: seen,
+            releases: 0,
             is_unreported: false,
         });
-        if !is_recent(suspect.last) {
+        if suspect.is_expired(now) {
+            suspect.releases = 0;
             suspect.upstreams.clear();
             suspect.attempts.clear();
             suspect.cuts.clear();
         }
-        suspect.last = now;
+        suspect.last = suspect.last.max(seen);
         Some(suspect)
     }
 
     /// Records an answer and removes the request from the suspects.
     pub fn record_answer(&mut self, now: Instant, fingerprint: RequestFingerprint) {
-        self.suspects.remove(&fingerprint);
+        let suspect = self.suspects.remove(&fingerprint);
+        if suspect.is_some_and(|suspect| suspect.releases > 0) {
+            self.cleared.push(fingerprint);
+        }
+        self.set_answered(now, fingerprint);
+    }
+
+    fn set_answered(&mut self, now: Instant, fingerprint: RequestFingerprint) {
         self.answered[fingerprint.slot(ANSWER_SLOTS)] = Some((fingerprint, now));
     }
 
     /// Reports whether the request is in quarantine and must not be sent.
     pub fn is_quarantined(&self, now: Instant, fingerprint: RequestFingerprint) -> bool {
-        self.suspects.get(&fingerprint).is_some_and(|s| {
-            s.is_quarantined() && now.saturating_duration_since(s.last) < RECORD_TTL
+        let suspect = self.suspects.get(&fingerprint);
+        suspect.is_some_and(|s| {
+            s.is_quarantined() && !s.is_expired(now) && !self.may_release(now, fingerprint, s)
         })
     }
+
+    /// Returns the place of this host in the order in which hosts release this request.
+    fn turn(&self, fingerprint: RequestFingerprint) -> usize {
+        let (place, hosts) = self.place;
+        (place + hosts - fingerprint.slot(hosts)) % hosts
+    }
+
+    /// Returns true if the quarantine has ended and it is this host's turn to release the request.
+    fn may_release(
+        &self,
+        now: Instant,
+        fingerprint: RequestFingerprint,
+        suspect: &Suspect,
+    ) -> bool {
+        let age = now.saturating_duration_since(suspect.last);
+        let Some(over) = age.checked_sub(suspect.hold()) else {
+            return false;
+        };
+        let turn_ms = RELEASE_TURN.as_millis();
+        let turn = over.as_millis() / turn_ms % self.place.1 as u128;
+        turn == self.turn(fingerprint) as u128 && over.as_millis() % turn_ms < turn_ms / 2
+    }
+
+    /// Decides whether a caller's attempt may be sent. A quarantine that has ended lets one attempt
+    /// through and holds for longer until an upstream has answered it.
+    pub fn admit(&mut self, now: Instant, fingerprint: RequestFingerprint) -> bool {
+        let Some(suspect) = self.suspects.get(&fingerprint) else {
+            return true;
+        };
+        if !suspect.is_quarantined() || suspect.is_expired(now) {
+            return true;
+        }
+        let is_released = self.may_release(now, fingerprint, suspect);
+        let steps = u32::try_from(self.turn(fingerprint)).unwrap_or(u32::MAX);
+        let seen_interval = SEEN_INTERVAL + SEEN_STEP * steps.min(MAX_SEEN_STEPS);
+        let age = now.saturating_duration_since(suspect.last);
+        let is_seen_again = age >= seen_interval && age < suspect.hold();
+        if let Some(suspect) = self.suspects.get_mut(&fingerprint)
+            && (is_released || is_seen_again)
+        {
+            suspect.releases = (suspect.releases + u32::from(is_released)).min(MAX_RELEASES);
+            suspect.last = now;
+            suspect.is_unreported = true;
+        }
+        is_released
+    }
 }
--- a/crates/cornelwinch_routing/tests/crash_marks.rs
+++ b/crates/cornelwinch_routing/tests/crash_marks.rs
@@ -180,3 +180,98 @@
     assert!(tracker.record_cut(now, fingerprint, attempt(2), upstream(4)));
     assert!(tracker.is_quarantined(now, fingerprint));
 }
+
+fn marked(now: Instant, fingerprint: RequestFingerprint) -> CrashTracker {
+    let mut tracker = CrashTracker::default();
+    for n in 0..3 {
+        tracker.record_disconnect(now, fingerprint, attempt(n), upstream(n));
+    }
+    tracker
+}
+
+/// Guards against marks that are lost by a restart, or that live for longer with each copy.
+#[test]
+fn copied_mark_ends_with_the_original() {
+    let now = Instant::now();
+    let fingerprint = RequestFingerprint::of("/titles/2f", "");
+    let copied = now + Duration::from_secs(50);
+    let mut new = CrashTracker::default();
+    for mark in marked(now, fingerprint).copy_marks(copied) {
+        assert!(new.record_report(copied, &mark));
+    }
+    assert!(new.is_quarantined(now + Duration::from_secs(59), fingerprint));
+    assert!(!new.is_quarantined(now + Duration::from_secs(60), fingerprint));
+}
+
+/// Plays hosts that all get a request that crashes upstreams, at an interval and twice a second at
+/// each host for 30 s when it comes. Reports take a second. Returns the attempts that were sent and
+/// the reports.
+fn play_quarantine(hosts: usize, interval_s: u64) -> (usize, usize) {
+    let start = Instant::now();
+    let fingerprint = RequestFingerprint::of("/titles/2f", "");
+    let mut trackers: Vec<CrashTracker> = (0..hosts).map(|_| marked(start, fingerprint)).collect();
+    for (place, tracker) in trackers.iter_mut().enumerate() {
+        tracker.take_due_reports(start + Duration::from_secs(1));
+        tracker.set_place(place, hosts);
+    }
+    let (mut sent, mut reported, mut on_the_way) = (0, 0, Vec::new());
+    for tick in 2..4 * 3_600 * 2_u64 {
+        let now = start + Duration::from_millis(500 * tick);
+        for report in std::mem::take(&mut on_the_way) {
+            for tracker in &mut trackers {
+                tracker.record_report(now, &report);
+            }
+        }
+        for tracker in &mut trackers {
+            if (tick / 2) % interval_s < 30 && tracker.admit(now, fingerprint) {
+                sent += 1;
+                tracker.record_disconnect(now, fingerprint, attempt(tick), upstream(tick));
+            }
+            on_the_way.extend(tracker.take_due_reports(now));
+        }
+        reported += on_the_way.len();
+    }
+    (sent, reported)
+}
+
+/// Guards against a quarantine that ends on all hosts at once, or again and again, and against
+/// reports at a rate that grows with the hosts while the request keeps coming.
+#[test]
+fn ends_of_quarantine_release_three_attempts_at_most() {
+    for hosts in [1, 4, 33, 81] {
+        for interval_s in [30, 75, 100, 140, 700, 3_000] {
+            let (sent, reported) = play_quarantine(hosts, interval_s);
+            println!("{hosts} hosts, every {interval_s} s: {sent} sent, {reported} reports");
+            assert!(sent <= 3, "{hosts} hosts, every {interval_s} s: {sent}");
+            // One report of each host when the request comes back, then one every two seconds.
+            let limit = (4 * 3_600 / interval_s as usize + 1) * (hosts + 15);
+            assert!(
+                reported <= limit,
+                "{hosts} hosts, every {interval_s} s: {reported}"
+            );
+        }
+    }
+}
+
+/// Guards against a sound request that other hosts go on refusing after one has had its answer.
+#[test]
+fn answer_after_the_release_ends_the_quarantine_everywhere() {
+    let now = Instant::now();
+    let fingerprint = RequestFingerprint::of("/titles/2f", "");
+    let (mut first, mut second) = (marked(now, fingerprint), marked(now, fingerprint));
+    let later = now + Duration::from_secs(61);
+    assert!(first.admit(later, fingerprint));
+    assert!(
+        !first.admit(later, fingerprint),
+        "a second attempt before the answer"
+    );
+    first.record_answer(later, fingerprint);
+    for report in first.take_due_reports(later) {
+        second.record_report(later, &report);
+    }
+    assert!(first.admit(later, fingerprint) && second.admit(later, fingerprint));
+    assert!(
+        second.take_due_reports(later).is_empty(),
+        "the answer was reported twice"
+    );
+}
