routing, relay: bound times from outside, wait for written answers, restart changed splits

Causes: a goal below 0.5 ms made the upper bound of a clamp smaller than the lower one, which ended the process at the first success on the route. Settings with times beyond the range of a clock, and a removal time stated by another host, could end it too. A planned stop waited for the handlers, not until the answers were written. Answers left the memory bound once they were read. A split kept the credits of its old weights, so a changed one sent all requests to one part.

The round robin starts anew when the parts change.

Looked at without a fault: the other clamps (constant bounds), deadlines and `Retry-After` (bounded or saturating), `ReturnSchedule`, ages in reports (checked), slots and indexes (modulo the length).

--- a/crates/cornelwinch_relay/src/answer.rs
+++ b/crates/cornelwinch_relay/src/answer.rs
@@ -5,6 +5,7 @@
 use hyper::header::{self, HeaderValue};
 use hyper::{Response, StatusCode};
 
+use crate::answer_memory::AnswersInWriting;
 use crate::headers::strip_hop_by_hop;
 use crate::leg::UpstreamAnswer;
 use crate::outcome::Outcome;
@@ -107,6 +108,14 @@
         }
     }
 
+    /// Counts the answer until it is written to the caller.
+    pub(crate) fn track(mut self, answers: &AnswersInWriting) -> Response<Full<Bytes>> {
+        let body = std::mem::take(self.response.body_mut());
+        let bytes = body.into_inner().unwrap_or_default();
+        *self.response.body_mut() = Full::new(answers.track(bytes));
+        self.response
+    }
+
     /// Creates a reply from a gathered answer.
     pub(crate) fn gathered(response: Response<Full<Bytes>>, missing: usize) -> Self {
         Self {
--- a/crates/cornelwinch_relay/src/apply.rs
+++ b/crates/cornelwinch_relay/src/apply.rs
@@ -7,6 +7,9 @@
 use crate::dialect::{ObjectKind, ObjectValue, StoreObject};
 use crate::shared::Shared;
 
+/// Longest time for which an upstream without an entry stays in use. Another host states the time.
+const MAX_KEEP_TIME: Duration = Duration::from_secs(60);
+
 /// Applies changes of one kind to routing. If `keep_missing` is set, entries may have expired
 /// during a store outage, and upstreams whose entries were removed stay in use for that time.
 pub(crate) fn apply_changes(
@@ -73,7 +76,7 @@
                 "event=upstream_missing upstream={name} keep_ms={}",
                 keep.as_millis()
             );
-            fleet.mark_missing(now, &name, keep);
+            fleet.mark_missing(now, &name, keep.min(MAX_KEEP_TIME));
             None
         }
         (None, None) => {
--- a/crates/cornelwinch_relay/src/body.rs
+++ b/crates/cornelwinch_relay/src/body.rs
@@ -44,7 +44,13 @@
         }
         read_limit.extend(data.len().saturating_mul(READ_BYTES_PER_BODY_BYTE));
         if whole.is_empty() && body.is_end_stream() {
-            return Ok(data);
+            let Some(mut held) = held else {
+                return Ok(data);
+            };
+            if !held.add(data.len()) {
+                return TooLargeSnafu { limit }.fail()?;
+            }
+            return Ok(held.keep(data));
         }
         let capacity = whole.capacity();
         whole.reserve(data.len());
@@ -54,5 +60,9 @@
         }
         whole.extend_from_slice(&data);
     }
-    Ok(whole.freeze())
+    let whole = whole.freeze();
+    Ok(match held {
+        Some(held) => held.keep(whole),
+        None => whole,
+    })
 }
--- a/crates/cornelwinch_relay/src/core.rs
+++ b/crates/cornelwinch_relay/src/core.rs
@@ -26,6 +26,9 @@
 /// Relative step by which each sample moves the estimated median leg time up or down.
 const LEG_TIME_STEP_RATIO: f64 = 0.03;
 
+/// Lower bound of the estimated median leg time, also on routes with a shorter goal.
+const MIN_LEG_TIME: Duration = Duration::from_micros(500);
+
 /// Share of a route's goal that is the initial estimate of its median leg time.
 const INITIAL_LEG_TIME_GOAL_RATIO: f64 = 0.15;
 
@@ -132,7 +135,10 @@
         self.median_leg_time
             .get(&route.name)
             .copied()
-            .unwrap_or_else(|| route.goal.mul_f64(INITIAL_LEG_TIME_GOAL_RATIO))
+            .unwrap_or_else(|| {
+                let time = route.goal.mul_f64(INITIAL_LEG_TIME_GOAL_RATIO);
+                time.max(MIN_LEG_TIME)
+            })
     }
 
     /// Moves the estimated median leg time of a route one step towards a sample.
@@ -143,9 +149,7 @@
         } else {
             1.0 - LEG_TIME_STEP_RATIO
         };
-        let new = old
-            .mul_f64(factor)
-            .clamp(Duration::from_micros(500), route.goal);
+        let new = old.mul_f64(factor).min(route.goal).max(MIN_LEG_TIME);
         self.median_leg_time.insert(route.name.clone(), new);
     }
 }
--- a/crates/cornelwinch_relay/src/handle.rs
+++ b/crates/cornelwinch_relay/src/handle.rs
@@ -126,7 +126,7 @@
     let mut core = shared.core.borrow_mut();
     core.metrics.record(route, elapsed, reply.outcome);
     drop(core);
-    let mut response = reply.response;
+    let mut response = reply.track(&shared.answers_in_writing);
     // The balancer sends the caller's next connection to another host.
     if !shared.is_ready() {
         response
--- a/crates/cornelwinch_relay/src/relay.rs
+++ b/crates/cornelwinch_relay/src/relay.rs
@@ -88,7 +88,7 @@
 }
 
 impl Relay {
-    /// Stops the relay. It waits until all requests are answered, at most for the grace period of
+    /// Stops the relay. It waits until all answers are written, at most for the grace period of
     /// the settings, and returns the number of unanswered requests.
     pub async fn stop(&self) -> usize {
         let start = Instant::now();
@@ -105,7 +105,7 @@
         let _ = self.close_idle.send(true);
         let limit = grace.mul_f64(STOP_GRACE_RATIO);
         loop {
-            while self.shared.active.get() > 0 && start.elapsed() < limit {
+            while self.has_unfinished() && start.elapsed() < limit {
                 sleep(STOP_POLL_INTERVAL).await;
                 if Instant::now() >= answer_at {
                     self.shared.stop_due.send_replace(true);
@@ -113,18 +113,24 @@
             }
             sleep(FINAL_WRITE_TIME).await;
             // Another request may have been read while sleeping.
-            if self.shared.active.get() == 0 || start.elapsed() >= limit {
+            if !self.has_unfinished() || start.elapsed() >= limit {
                 break;
             }
         }
         let unanswered = self.shared.active.get();
         log::info!(
-            "event=stopped cut={unanswered} ms={}",
+            "event=stopped cut={unanswered} unwritten={} ms={}",
+            self.shared.answers_in_writing.count(),
             start.elapsed().as_millis()
         );
         unanswered
     }
 
+    /// Returns true if a request is unanswered or an answer is not written yet.
+    fn has_unfinished(&self) -> bool {
+        self.shared.active.get() > 0 || self.shared.answers_in_writing.count() > 0
+    }
+
     /// Applies the settings that may change while the process runs, which are the bounds.
     pub fn update_settings(&self, settings: &RelaySettings) {
         let mut current = self.shared.settings.borrow_mut();
--- a/crates/cornelwinch_relay/src/settings.rs
+++ b/crates/cornelwinch_relay/src/settings.rs
@@ -205,6 +205,9 @@
     }
 }
 
+/// Longest time in the settings, in seconds. Times of days are faults and may overflow clocks.
+const MAX_TIME_S: f64 = 24.0 * 60.0 * 60.0;
+
 impl Bounds {
     fn check(&self) -> Result<(), String> {
         let numbers = [
@@ -220,6 +223,16 @@
                 return Err(format!("bounds.{key} must be 0 or more, not {value}"));
             }
         }
+        let times = [
+            ("stable_ms", self.stable_ms as f64 / 1_000.0),
+            ("grace_s", self.grace_s),
+            ("repeat_window_s", self.repeat_window_s),
+        ];
+        for (key, seconds) in times {
+            if seconds > MAX_TIME_S {
+                return Err(format!("bounds.{key} must be at most a day"));
+            }
+        }
         let optional = [
             ("cap.window_s", self.cap.map(|cap| cap.window_s)),
             ("cap.overshoot", self.cap.map(|cap| cap.overshoot)),
--- a/crates/cornelwinch_relay/src/shared.rs
+++ b/crates/cornelwinch_relay/src/shared.rs
@@ -9,7 +9,7 @@
 use cornelwinch_types::Name;
 use tokio::sync::{broadcast, watch};
 
-use crate::answer_memory::AnswerMemory;
+use crate::answer_memory::{AnswerMemory, AnswersInWriting};
 use crate::core::Core;
 use crate::feed_message::{FeedMessage, encode};
 use crate::mirror::Mirror;
@@ -33,6 +33,7 @@
     pub(crate) core: RefCell<Core>,
     pub(crate) pool: Pool,
     pub(crate) answer_memory: AnswerMemory,
+    pub(crate) answers_in_writing: AnswersInWriting,
     pub(crate) dialect: Dialect,
     pub(crate) settings: RefCell<RelaySettings>,
     /// Time at which the remaining requests are answered as timed out; set once the host is asked
@@ -68,6 +69,7 @@
             core: RefCell::new(core),
             pool: Pool::default(),
             answer_memory: AnswerMemory::new(settings.answer_memory()),
+            answers_in_writing: AnswersInWriting::default(),
             dialect,
             settings: RefCell::new(settings),
             stop_at: Cell::new(None),
--- a/crates/cornelwinch_relay/tests/settings_check.rs
+++ b/crates/cornelwinch_relay/tests/settings_check.rs
@@ -35,6 +35,18 @@
         ),
         ("\"stable_ms\": 4000", "\"stable_ms\": 0", "stable_ms"),
         ("\"host\": \"a-1\",", "\"host\": \"a-1\"", "line 3"),
+        // Times that no clock can represent.
+        (
+            "\"stable_ms\": 4000",
+            "\"stable_ms\": 18446744073709551615",
+            "stable_ms",
+        ),
+        ("\"grace_s\": 6", "\"grace_s\": 1e300", "grace_s"),
+        (
+            "\"repeat_window_s\": 10",
+            "\"repeat_window_s\": 1e20",
+            "repeat_window_s",
+        ),
     ];
     for (from, to, expected) in cases {
         let text = GOOD.replacen(from, to, 1);
--- a/crates/cornelwinch_routing/src/round_robin.rs
+++ b/crates/cornelwinch_routing/src/round_robin.rs
@@ -14,12 +14,18 @@
 #[derive(Debug, Default, Clone)]
 pub struct WeightedRoundRobin {
     credit: Vec<i64>,
+    /// Parts to which the credits belong.
+    parts: Vec<(Name, u32)>,
 }
 
 impl WeightedRoundRobin {
     /// Picks the service of the next request; `None` if all weights are 0.
     pub fn next(&mut self, parts: &[(Name, u32)]) -> Option<Name> {
-        self.credit.resize(parts.len(), 0);
+        if self.parts != parts {
+            // Credits that were collected with other weights would send all requests to one part.
+            self.parts = parts.to_vec();
+            self.credit = vec![0; parts.len()];
+        }
         let total: i64 = parts.iter().map(|(_, weight)| i64::from(*weight)).sum();
         if total == 0 {
             return None;
