--- a/crates/cornelwinch_relay/src/handle.rs
+++ b/crates/cornelwinch_relay/src/handle.rs
@@ -140,7 +140,7 @@
     let mut core = shared.core.borrow_mut();
     core.metrics.record(route, elapsed, reply.outcome);
     drop(core);
-    let mut response = reply.response;
+    let mut response = reply.track(&shared.answers_in_writing);
     // The balancer sends the caller's next connection to another host.
     if !shared.is_ready() {
         response
@@ -234,12 +234,11 @@
         return Reply::rejected(StatusCode::BAD_REQUEST, "path");
     };
     let fingerprint = RequestFingerprint::of_bytes(path.as_bytes(), &body);
-    if shared
-        .core
-        .borrow()
-        .crash_tracker
-        .is_quarantined(start, fingerprint)
-    {
+    let is_admitted = {
+        let mut core = shared.core.borrow_mut();
+        core.crash_tracker.admit(start, fingerprint)
+    };
+    if !is_admitted {
         return Reply::not_run("crashes_upstreams");
     }
     let deadline = start + time;
--- a/crates/cornelwinch_relay/src/leg.rs
+++ b/crates/cornelwinch_relay/src/leg.rs
@@ -12,6 +12,7 @@
 use crate::body::{MAX_FRAMING_BYTES, TooLarge, read_body};
 use crate::headers::{is_closing, keep_alive_timeout, millis, millis_value, retry_after};
 use crate::shared::Shared;
+use crate::verdict::{Verdict, judge};
 
 /// Multiple of the median leg time from which a cancelled leg counts as timed out by its upstream.
 const TIMED_OUT_LATENCY_RATIO: f64 = 3.0;
@@ -107,8 +108,8 @@
     NotRun(NotRunReason),
     /// The request may have run; the reason is written to logs and answers.
     Lost(&'static str),
-    /// The request may have run, and the upstream closed the connection.
-    Disconnected,
+    /// The request may have run, and the connection ended before the end of the answer.
+    Disconnected(&'static str),
 }
 
 /// Reports the end of a leg to the fleet, even if the leg's future is dropped.
@@ -255,7 +256,7 @@
             } else if error.error().is_parse() {
                 (LegOutcome::Lost("malformed"), Some(HealthSignal::Failed))
             } else {
-                (LegOutcome::Disconnected, Some(signal))
+                (LegOutcome::Disconnected("disconnected"), Some(signal))
             };
         }
     };
@@ -288,7 +289,7 @@
             return if is_oversized {
                 (LegOutcome::Lost(OVERSIZED), Some(HealthSignal::Oversized))
             } else {
-                (LegOutcome::Lost("cut"), Some(HealthSignal::Failed))
+                (LegOutcome::Disconnected("cut"), Some(HealthSignal::Failed))
             };
         }
     };
@@ -312,20 +313,20 @@
 /// whose time tells the upstream's health.
 fn judge_answer(shared: &Shared, head: Parts, body: Bytes) -> (LegOutcome, Option<HealthSignal>) {
     let names = &shared.dialect.headers;
-    if head.status == StatusCode::MISDIRECTED_REQUEST {
-        return (
-            LegOutcome::NotRun(NotRunReason::Misdirected),
-            Some(HealthSignal::Misdirected),
-        );
-    }
-    if head.headers.contains_key(&names.not_executed) {
-        return (
-            LegOutcome::NotRun(NotRunReason::Refused),
-            Some(HealthSignal::Refused),
-        );
-    }
-    if !head.headers.contains_key(&names.server_stamp) {
-        return (LegOutcome::Lost("unstamped"), Some(HealthSignal::Failed));
+    let is_stamped = head.headers.contains_key(&names.server_stamp);
+    let is_not_executed = head.headers.contains_key(&names.not_executed);
+    match judge(head.status, is_stamped, is_not_executed) {
+        Verdict::Ran => {}
+        Verdict::NotRun(reason) => {
+            let signal = match reason {
+                NotRunReason::Misdirected => HealthSignal::Misdirected,
+                _ => HealthSignal::Refused,
+            };
+            return (LegOutcome::NotRun(reason), Some(signal));
+        }
+        Verdict::MayHaveRun(reason) => {
+            return (LegOutcome::Lost(reason), Some(HealthSignal::Failed));
+        }
     }
     if head.headers.contains_key(header::CONTENT_ENCODING) {
         return (LegOutcome::Lost("encoded"), Some(HealthSignal::Failed));
--- a/crates/cornelwinch_relay/src/lib.rs
+++ b/crates/cornelwinch_relay/src/lib.rs
@@ -10,6 +10,7 @@
 mod body;
 mod callers;
 mod core;
+mod crash_check;
 mod dialect;
 mod error;
 mod feed;
@@ -24,6 +25,7 @@
 mod leg;
 mod line_limit;
 mod logging;
+mod marks;
 mod metrics;
 mod mirror;
 mod operator;
@@ -39,6 +41,7 @@
 mod store_health;
 mod subscribe;
 mod sync;
+mod verdict;
 
 pub use dialect::{
     Dialect, HeaderNames, ObjectKind, ObjectPage, ObjectProblem, ObjectValue, StoreApi,
--- a/crates/cornelwinch_relay/src/shared.rs
+++ b/crates/cornelwinch_relay/src/shared.rs
@@ -9,7 +9,7 @@
 use cornelwinch_types::Name;
 use tokio::sync::{broadcast, watch};
 
-use crate::answer_memory::AnswerMemory;
+use crate::answer_memory::{AnswerMemory, AnswersInWriting};
 use crate::core::Core;
 use crate::feed_message::{FeedMessage, encode};
 use crate::mirror::Mirror;
@@ -20,6 +20,10 @@
 /// Number of messages by which a subscriber may lag before its connection is closed.
 const FEED_QUEUE_MESSAGES: usize = 256;
 
+/// Longest time after the start for which a host that could serve waits for the marks of other
+/// hosts. It gets them within milliseconds unless the first host that it asks is silent.
+const MARKS_WAIT: Duration = Duration::from_millis(250);
+
 /// Connection limit of an upstream whose service is not in the desired state.
 const DEFAULT_UPSTREAM_CONNECTIONS: usize = 4;
 
@@ -29,6 +33,7 @@
     pub(crate) core: RefCell<Core>,
     pub(crate) pool: Pool,
     pub(crate) answer_memory: AnswerMemory,
+    pub(crate) answers_in_writing: AnswersInWriting,
     pub(crate) dialect: Dialect,
     pub(crate) settings: RefCell<RelaySettings>,
     /// Time at which the remaining requests are answered as timed out; set once the host is asked
@@ -45,6 +50,12 @@
     pub(crate) store_health: StoreHealth,
     /// Sends encoded messages to the hosts that this one feeds.
     pub(crate) feed: broadcast::Sender<Bytes>,
+    /// Time at which this process started.
+    started: Instant,
+    /// True once this host has asked the others which requests crash upstreams.
+    pub(crate) has_marks: Cell<bool>,
+    /// Number of checks in progress whether an upstream crashed.
+    pub(crate) crash_checks: Cell<usize>,
     is_source: Cell<bool>,
     /// Time of the last valid heartbeat from the source that feeds this host.
     last_feed: Cell<Option<Instant>>,
@@ -58,6 +69,7 @@
             core: RefCell::new(core),
             pool: Pool::default(),
             answer_memory: AnswerMemory::new(settings.answer_memory()),
+            answers_in_writing: AnswersInWriting::default(),
             dialect,
             settings: RefCell::new(settings),
             stop_at: Cell::new(None),
@@ -67,6 +79,9 @@
             hosts: RefCell::default(),
             store_health: StoreHealth::default(),
             feed: broadcast::channel(FEED_QUEUE_MESSAGES).0,
+            started: Instant::now(),
+            has_marks: Cell::new(false),
+            crash_checks: Cell::new(0),
             is_source: Cell::new(false),
             last_feed: Cell::new(None),
             last_leg_token: Cell::new(0),
@@ -98,8 +113,10 @@
         self.is_source.set(is_source);
     }
 
-    /// Records a heartbeat from a source that is up to date with the store.
+    /// Records a heartbeat from a source that is up to date with the store. The source has sent its
+    /// marks before.
     pub(crate) fn record_feed(&self, now: Instant) {
+        self.has_marks.set(true);
         self.last_feed.set(Some(now));
     }
 
@@ -198,6 +215,9 @@
         if self.is_stopping() || core.fleet.is_empty() {
             return false;
         }
+        if !self.has_marks.get() && now.saturating_duration_since(self.started) < MARKS_WAIT {
+            return false;
+        }
         let can_serve_all = || {
             table
                 .routes()
