relay: repeat the registration of a host, and use a safe share until it is listed

Cause: `keep_in_sync` registered once. Hosts that started while the store was down never registered, each found an empty list of hosts, took itself for the only one and used the whole of each limit that all hosts share.

A list counts only if it contains this host. A small assumed number such as the former 8 is not safe, since the listed hosts may divide the whole limit already. A registration that succeeds at the first attempt works as before.

--- a/crates/cornelwinch_relay/src/apply.rs
+++ b/crates/cornelwinch_relay/src/apply.rs
@@ -107,7 +107,9 @@
     }
 }
 
-fn apply_hosts(shared: &Shared) {
+/// Applies the mirrored host list. It counts only if this host is in it: a list without it may lack
+/// others too, and those that are listed divide the whole limit among themselves.
+pub(crate) fn apply_hosts(shared: &Shared) {
     let items = shared.mirror.borrow().items(ObjectKind::Hosts);
     let hosts: Vec<HostEntry> = items
         .into_iter()
@@ -121,11 +123,19 @@
         .collect();
     log::info!("event=hosts_changed count={}", hosts.len());
     let mut core = shared.core.borrow_mut();
-    core.max_host_count = core.max_host_count.max(Some(hosts.len()));
-    let count = core.host_count();
     let this_host = shared.settings.borrow().host.clone();
+    if !core.is_settling && hosts.iter().any(|host| host.name == this_host) {
+        core.max_host_count = core.max_host_count.max(Some(hosts.len()));
+    }
+    let count = core.host_count();
+    // Without named hosts this host gets none of the permits that remain after an equal division.
+    let named = if core.is_settling {
+        Vec::new()
+    } else {
+        hosts.clone()
+    };
     core.fleet
-        .set_hosts(HostPermits::new(this_host, hosts.clone(), count));
+        .set_hosts(HostPermits::new(this_host, named, count));
     drop(core);
     *shared.hosts.borrow_mut() = hosts;
 }
--- a/crates/cornelwinch_relay/src/core.rs
+++ b/crates/cornelwinch_relay/src/core.rs
@@ -12,8 +12,10 @@
 use crate::line_limit::LineLimit;
 use crate::metrics::Metrics;
 
-/// Number of hosts that is assumed until the registered hosts have been listed.
-const DEFAULT_HOST_COUNT: usize = 8;
+/// Number of hosts that is assumed until a host list contains this host. It is the largest tier that
+/// the software is designed for: the others may already divide the whole limit, so this host may add
+/// next to nothing to it. A share still has one connection to each upstream.
+const UNKNOWN_HOST_COUNT: usize = 7_900;
 
 /// Share of the rate limit of a cold upstream that is used. Requests sent in one second may arrive
 /// in the next, and count there.
@@ -39,8 +41,11 @@
     pub(crate) metrics: Metrics,
     /// Rate limit on log lines about failed legs.
     pub(crate) leg_log_limit: LineLimit,
-    /// Largest number of registered hosts seen since this process started.
+    /// Largest number of registered hosts, this one included, seen since this process started.
     pub(crate) max_host_count: Option<usize>,
+    /// True while the host list may be short because this host registered late, possibly together
+    /// with others.
+    pub(crate) is_settling: bool,
     pub(crate) rng: fastrand::Rng,
     split_round_robins: SortedMap<Name, WeightedRoundRobin>,
     pub(crate) gather_limits: GatherLimits,
@@ -51,7 +56,7 @@
 impl Core {
     pub(crate) fn new(this_host: Name) -> Self {
         let mut fleet = Fleet::new();
-        fleet.set_hosts(HostPermits::new(this_host, Vec::new(), DEFAULT_HOST_COUNT));
+        fleet.set_hosts(HostPermits::new(this_host, Vec::new(), UNKNOWN_HOST_COUNT));
         Self {
             table: None,
             fleet,
@@ -60,6 +65,7 @@
             metrics: Metrics::default(),
             leg_log_limit: LineLimit::default(),
             max_host_count: None,
+            is_settling: false,
             rng: fastrand::Rng::new(),
             split_round_robins: SortedMap::new(),
             gather_limits: GatherLimits::default(),
@@ -69,7 +75,7 @@
 
     /// Returns the number of hosts among which shared limits are divided.
     pub(crate) fn host_count(&self) -> usize {
-        self.max_host_count.unwrap_or(DEFAULT_HOST_COUNT).max(1)
+        self.max_host_count.unwrap_or(UNKNOWN_HOST_COUNT).max(1)
     }
 
     /// Returns this host's share of an upstream's connections, and the rate that a cold upstream
--- a/crates/cornelwinch_relay/src/lib.rs
+++ b/crates/cornelwinch_relay/src/lib.rs
@@ -28,6 +28,7 @@
 mod operator;
 mod outcome;
 mod pool;
+mod registration;
 mod relay;
 mod report;
 mod scatter;
--- a/crates/cornelwinch_relay/src/sync.rs
+++ b/crates/cornelwinch_relay/src/sync.rs
@@ -2,12 +2,12 @@
 use std::time::{Duration, Instant};
 
 use cornelwinch_routing::{HostEntry, source_count, source_order};
-use hyper::StatusCode;
 use tokio::time::{sleep, timeout};
 
 use crate::follow::{STORE_CALL_TIMEOUT, StoreFollower, list_hosts};
+use crate::registration::{keep_registered, register};
 use crate::shared::Shared;
-use crate::store::{StoreClient, StoreError};
+use crate::store::StoreClient;
 use crate::subscribe::Subscription;
 
 /// Time within which hosts that start together register.
@@ -33,7 +33,9 @@
     let store = shared.settings.borrow().store;
     let mut client = StoreClient::new(store);
     let mut follower: Option<StoreFollower> = None;
-    if register(&shared, &mut client, &this_host).await {
+    let registered = register(&shared, &mut client, &this_host).await;
+    shared.core.borrow_mut().is_settling = registered.is_err();
+    if let Ok(true) = registered {
         sleep(HOST_REGISTRATION_TIME).await;
     } else {
         // A restarted host follows the store at once, since callers may be waiting for it.
@@ -41,6 +43,7 @@
     }
     list_hosts(&shared, &mut client, false).await;
     drop(client);
+    tokio::task::spawn_local(keep_registered(shared.clone()));
     loop {
         let is_store_failing = follower.is_some() && shared.store_health.is_failing();
         let (sources, is_preferred_source) =
@@ -99,33 +102,6 @@
     StoreFollower::spawn(shared)
 }
 
-/// Registers this host. Returns true if it was not registered before and registering succeeded.
-async fn register(shared: &Shared, client: &mut StoreClient, this_host: &HostEntry) -> bool {
-    let calls = shared.dialect.store;
-    match client
-        .write((calls.register_host)(this_host), STORE_CALL_TIMEOUT)
-        .await
-    {
-        Ok(_) => true,
-        Err(StoreError::Status {
-            status: StatusCode::CONFLICT,
-        }) => {
-            // The host may have had another address before a restart.
-            if let Err(error) = client
-                .write((calls.replace_host)(this_host), STORE_CALL_TIMEOUT)
-                .await
-            {
-                log::warn!("event=register_failed {error}");
-            }
-            false
-        }
-        Err(error) => {
-            log::warn!("event=register_failed {error}");
-            false
-        }
-    }
-}
-
 /// Returns the hosts that may feed this one in order of preference, and whether this host is a
 /// preferred source. A preferred source has candidates only while it cannot reach the store. Any
 /// other host considers only hosts that precede it in the order shared by all hosts, so that the
