routing, relay: derive feed and watch times from the smallest bound

Cause: a source that silently lost the store noticed it when a watch failed (0.7 x stable_ms + 400 ms), told the hosts that it feeds with the next heartbeat (350 ms), and these then searched for another source: up to about 3.45 s where drain_ms and config_apply_ms are 3,000 ms.

Change: `SyncTiming` calculates all times from stable_ms and the smallest of drain_ms, config_apply_ms and evacuation_ms. If watches alone are too slow, a source that has had no answer for a while probes the store with one read that may be stale, which costs a tenth of a call; a failed probe ends the watches and shows in the heartbeat. Watches wait longer by what the probes cost at most, so the cost does not grow (bounds of at least a quarter of stable_ms). A host that lost its source searches for a limited time and then reads the store itself. A source that still has to list a kind reports the age of that kind, so it is refused when its copy is too old. Ruled out: shorter watches, which cost more calls.

--- a/crates/cornelwinch_relay/src/feed.rs
+++ b/crates/cornelwinch_relay/src/feed.rs
@@ -15,8 +15,8 @@
 use crate::feed_message::{FED_KINDS, FeedMessage, encode};
 use crate::shared::Shared;
 
-/// Interval between two heartbeats of a source.
-pub(crate) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(350);
+/// Pause after a connection could not be accepted.
+const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(350);
 
 /// Longest time for a handshake, for sending one message and for receiving an expected one.
 const SEND_TIMEOUT: Duration = Duration::from_secs(1);
@@ -50,7 +50,7 @@
             }
             Err(error) => {
                 log::warn!("event=accept_failed reason=\"{error}\"");
-                tokio::time::sleep(HEARTBEAT_INTERVAL).await;
+                tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await;
             }
         }
     }
@@ -134,7 +134,7 @@
     }
     log::info!("event=host_fed bytes={bytes}");
     shared.core.borrow_mut().metrics.feed_bytes += bytes as u64;
-    let mut heartbeats = interval(HEARTBEAT_INTERVAL);
+    let mut heartbeats = interval(shared.sync_timing().heartbeat_interval);
     loop {
         let buf = tokio::select! {
             change = changes.recv() => match change {
@@ -190,7 +190,7 @@
 }
 
 fn heartbeat(shared: &Shared) -> FeedMessage {
-    let age = shared.store_health.time_since_answer(Instant::now());
+    let age = shared.store_health.knowledge_age(Instant::now());
     FeedMessage::Beat {
         age_ms: age.map_or(u64::MAX, |age| {
             u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
--- a/crates/cornelwinch_relay/src/follow.rs
+++ b/crates/cornelwinch_relay/src/follow.rs
@@ -9,9 +9,6 @@
 use crate::shared::Shared;
 use crate::store::{StoreClient, StoreError};
 
-/// Time beyond its requested wait after which a watch fails.
-pub(crate) const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(400);
-
 /// Pause after a watch that returned changes. Each call to the store has a cost, so upstreams that
 /// start or leave together should arrive in one answer.
 const WATCH_BATCH_PAUSE: Duration = Duration::from_millis(250);
@@ -48,6 +45,7 @@
         .map(|kind| tokio::task::spawn_local(follow_kind(shared.clone(), kind)))
         .collect();
         tasks.push(tokio::task::spawn_local(follow_hosts(shared.clone())));
+        tasks.push(tokio::task::spawn_local(probe_store(shared.clone())));
         Self(tasks)
     }
 }
@@ -66,7 +64,12 @@
     let mut client = StoreClient::new(shared.settings.borrow().store);
     let mut backoff = MIN_BACKOFF;
     let mut revision = None;
+    // An earlier follower may have been aborted.
+    shared.store_health.record_listed(kind);
     loop {
+        if revision.is_none() {
+            shared.store_health.record_unlisted(kind, Instant::now());
+        }
         let step = match revision {
             None => list(&shared, &mut client, kind, false)
                 .await
@@ -86,6 +89,7 @@
         match step {
             Ok(next) => {
                 revision = Some(next);
+                shared.store_health.record_listed(kind);
                 backoff = MIN_BACKOFF;
             }
             Err(StoreError::Status {
@@ -127,6 +131,35 @@
     }
 }
 
+/// Reads from the store when it has not answered for a while, if the bounds require that a loss is
+/// detected before a watch fails. While the store fails, the other calls find out when it recovers.
+async fn probe_store(shared: Rc<Shared>) {
+    let mut client = StoreClient::new(shared.settings.borrow().store);
+    while let Some(probe) = shared.sync_timing().probe {
+        let age = shared.store_health.time_since_answer(Instant::now());
+        if age.is_none() || shared.store_health.is_failing() {
+            sleep(STORE_HEALTH_POLL_INTERVAL).await;
+            continue;
+        }
+        let due_in = probe.after.saturating_sub(age.unwrap_or_default());
+        if !due_in.is_zero() {
+            sleep(due_in).await;
+            continue;
+        }
+        shared.core.borrow_mut().metrics.store_calls += 1;
+        let path = (shared.dialect.store.list_path)(ObjectKind::Evacuations, None, true);
+        let sent_at = Instant::now();
+        match client.get(&path, probe.timeout).await {
+            // The answer proves only that the store could be reached when it was asked.
+            Ok(_) => shared.store_health.record_success(sent_at),
+            Err(error) => {
+                log::info!("event=store_probe_failed {error}");
+                shared.store_health.record_loss(Instant::now());
+            }
+        }
+    }
+}
+
 /// Lists the hosts once. On failure the previous list stays in use.
 pub(crate) async fn list_hosts(shared: &Rc<Shared>, client: &mut StoreClient, stale: bool) {
     match list(shared, client, ObjectKind::Hosts, stale).await {
@@ -210,9 +243,12 @@
     revision: u64,
 ) -> Result<ObjectPage, StoreError> {
     shared.core.borrow_mut().metrics.store_calls += 1;
-    let wait = shared.settings.borrow().bounds.watch_timeout();
-    let path = (shared.dialect.store.watch_path)(kind, revision, wait);
-    let body = client.get(&path, wait + WATCH_TIMEOUT_MARGIN).await?;
+    let timing = shared.sync_timing();
+    let path = (shared.dialect.store.watch_path)(kind, revision, timing.watch_wait);
+    let body = tokio::select! {
+        result = client.get(&path, timing.watch_wait + timing.watch_margin) => result?,
+        () = shared.store_health.lost() => return Err(StoreError::Timeout),
+    };
     (shared.dialect.store.decode_events)(kind, &body)
         .map_err(|reason| StoreError::Decode { reason })
 }
--- a/crates/cornelwinch_relay/src/settings.rs
+++ b/crates/cornelwinch_relay/src/settings.rs
@@ -2,6 +2,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use cornelwinch_routing::SyncTiming;
 use cornelwinch_types::Name;
 use serde::Deserialize;
 use snafu::ResultExt;
@@ -9,9 +10,6 @@
 use crate::RelayError;
 use crate::error::ReadSettingsSnafu;
 
-/// Timeout of a watch as a share of the recovery time `stable_ms`.
-const WATCH_TIMEOUT_RATIO: f64 = 0.7;
-
 /// Share of the process's memory that answers of upstreams may take while they are read.
 const ANSWER_MEMORY_RATIO: f64 = 0.25;
 
@@ -241,6 +239,16 @@
         if self.cap.is_some_and(|cap| cap.window_s == 0.0) {
             return Err("bounds.cap.window_s must be above 0".to_owned());
         }
+        let times = [
+            ("drain_ms", self.drain_ms),
+            ("config_apply_ms", self.config_apply_ms),
+            ("evacuation_ms", self.evacuation_ms),
+        ];
+        for (key, value) in times {
+            if value == Some(0) {
+                return Err(format!("bounds.{key} must be above 0"));
+            }
+        }
         if self.stable_ms == 0 {
             return Err("bounds.stable_ms must be above 0".to_owned());
         }
@@ -254,7 +262,18 @@
     /// is detected soon after this time, so that missed changes can be read again within the
     /// recovery time.
     pub fn watch_timeout(&self) -> Duration {
-        Duration::from_millis(self.stable_ms).mul_f64(WATCH_TIMEOUT_RATIO)
+        self.sync_timing().watch_wait
+    }
+
+    /// Returns the times that follow from the smallest of the bounds within which a change has to
+    /// be in force.
+    pub fn sync_timing(&self) -> SyncTiming {
+        let bounds = [self.drain_ms, self.config_apply_ms, self.evacuation_ms];
+        let smallest = bounds.into_iter().flatten().min();
+        SyncTiming::new(
+            Duration::from_millis(self.stable_ms),
+            smallest.map(Duration::from_millis),
+        )
     }
 
     /// Returns the grace period between SIGTERM and SIGKILL.
--- a/crates/cornelwinch_relay/src/shared.rs
+++ b/crates/cornelwinch_relay/src/shared.rs
@@ -3,8 +3,8 @@
 
 use bytes::Bytes;
 use cornelwinch_routing::{
-    CrashReport, HostEntry, RepeatKind, RetryBudgetConfig, UpstreamEndpoint, UpstreamId,
-    UpstreamLimits,
+    CrashReport, HostEntry, RepeatKind, RetryBudgetConfig, SyncTiming, UpstreamEndpoint,
+    UpstreamId, UpstreamLimits,
 };
 use cornelwinch_types::Name;
 use tokio::sync::{broadcast, watch};
@@ -88,6 +88,11 @@
         }
     }
 
+    /// Returns the times at which hosts prove and check that they are up to date.
+    pub(crate) fn sync_timing(&self) -> SyncTiming {
+        self.settings.borrow().bounds.sync_timing()
+    }
+
     /// Returns true if this host follows the store itself, so that it can feed other hosts.
     pub(crate) fn is_source(&self) -> bool {
         self.is_source.get()
--- a/crates/cornelwinch_relay/src/store_health.rs
+++ b/crates/cornelwinch_relay/src/store_health.rs
@@ -1,18 +1,29 @@
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 
+use tokio::sync::Notify;
+
+use crate::dialect::ObjectKind;
+
 /// Time after a store outage within which upstreams register again.
 const REREGISTRATION_TIME: Duration = Duration::from_millis(2_300);
 
 /// Shortest store outage during which registrations may have expired.
 const MIN_OUTAGE: Duration = Duration::from_millis(700);
 
+/// Number of object kinds.
+const KINDS: usize = ObjectKind::Hosts as usize + 1;
+
 /// Health of the store, derived from the results of this host's calls.
 #[derive(Debug, Default)]
 pub(crate) struct StoreHealth {
     failing_since: Cell<Option<Instant>>,
     recovered_at: Cell<Option<Instant>>,
     last_answer: Cell<Option<Instant>>,
+    /// Time since which a kind has to be listed, by kind.
+    unlisted_since: [Cell<Option<Instant>>; KINDS],
+    /// Notified when a probe finds that the store cannot be reached.
+    lost: Notify,
 }
 
 impl StoreHealth {
@@ -26,7 +37,7 @@
 
     /// Records a successful call.
     pub(crate) fn record_success(&self, now: Instant) {
-        self.last_answer.set(Some(now));
+        self.last_answer.set(self.last_answer.get().max(Some(now)));
         if let Some(since) = self.failing_since.take() {
             let outage = now.saturating_duration_since(since);
             log::info!("event=store_regained outage_ms={}", outage.as_millis());
@@ -36,6 +47,17 @@
         }
     }
 
+    /// Records a failed probe, and ends the watches, which may hang on dead connections.
+    pub(crate) fn record_loss(&self, now: Instant) {
+        self.record_failure(now);
+        self.lost.notify_waiters();
+    }
+
+    /// Waits until a probe finds that the store cannot be reached.
+    pub(crate) async fn lost(&self) {
+        self.lost.notified().await;
+    }
+
     /// Returns true if the last call failed.
     pub(crate) fn is_failing(&self) -> bool {
         self.failing_since.get().is_some()
@@ -47,6 +69,28 @@
         Some(now.saturating_duration_since(answered))
     }
 
+    /// Records that this host's copy of a kind is no longer kept up to date by a watch.
+    pub(crate) fn record_unlisted(&self, kind: ObjectKind, now: Instant) {
+        let since = &self.unlisted_since[kind as usize];
+        since.set(since.get().or(Some(now)));
+    }
+
+    /// Records that this host's copy of a kind is complete.
+    pub(crate) fn record_listed(&self, kind: ObjectKind) {
+        self.unlisted_since[kind as usize].set(None);
+    }
+
+    /// Returns the age of this host's copy of the store. Answers about one kind do not renew a kind
+    /// that still has to be listed.
+    pub(crate) fn knowledge_age(&self, now: Instant) -> Option<Duration> {
+        let answered = self.time_since_answer(now)?;
+        let unlisted = self.unlisted_since.iter().filter_map(Cell::get).min();
+        Some(
+            answered
+                .max(unlisted.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))),
+        )
+    }
+
     /// Returns for how much longer a missing entry may be one that merely expired during an outage.
     /// Returns `None` if a missing entry means that the upstream left.
     pub(crate) fn removal_grace(&self, now: Instant) -> Option<Duration> {
--- a/crates/cornelwinch_relay/src/subscribe.rs
+++ b/crates/cornelwinch_relay/src/subscribe.rs
@@ -8,24 +8,13 @@
 use tokio_tungstenite::{WebSocketStream, client_async_with_config};
 
 use crate::dialect::{ObjectKind, ObjectValue, StoreObject};
-use crate::feed::{FEED_PATH, HEARTBEAT_INTERVAL, send, socket_config};
+use crate::feed::{FEED_PATH, send, socket_config};
 use crate::feed_message::{FeedMessage, encode};
-use crate::follow::WATCH_TIMEOUT_MARGIN;
 use crate::shared::Shared;
 
 /// Timeout for connecting to a source and exchanging the first messages.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Time without a message after which a source counts as lost: two missed heartbeats plus one
-/// interval for network delay.
-const HEARTBEAT_TIMEOUT: Duration = HEARTBEAT_INTERVAL
-    .saturating_mul(2)
-    .saturating_add(HEARTBEAT_INTERVAL);
-
-/// Time beyond the timeout of a watch after which a source without an answer from the store counts
-/// as stale.
-const STALE_MARGIN: Duration = Duration::from_millis(500);
-
 /// Reason why a source does not feed this host, or no longer does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum FeedEnd {
@@ -82,8 +71,9 @@
 
     /// Applies the source's catch-up messages up to its first heartbeat.
     pub(crate) async fn catch_up(&mut self, shared: &Shared) -> Result<(), FeedEnd> {
+        let heartbeat_timeout = shared.sync_timing().heartbeat_timeout;
         loop {
-            let message = match timeout(HEARTBEAT_TIMEOUT, self.next()).await {
+            let message = match timeout(heartbeat_timeout, self.next()).await {
                 Ok(message) => message?,
                 Err(_) => return Err(FeedEnd::Lost),
             };
@@ -97,8 +87,9 @@
 
     /// Applies the source's messages until the feed ends, and returns why it ended.
     pub(crate) async fn run(mut self, shared: &Shared) -> FeedEnd {
+        let heartbeat_timeout = shared.sync_timing().heartbeat_timeout;
         loop {
-            match timeout(HEARTBEAT_TIMEOUT, self.next()).await {
+            match timeout(heartbeat_timeout, self.next()).await {
                 Ok(Ok(message)) => {
                     if let Err(end) = apply_message(shared, message) {
                         return end;
@@ -164,9 +155,8 @@
         }
         FeedMessage::Crashes { reports } => shared.record_crash_reports(&reports),
         FeedMessage::Beat { age_ms, is_failing } => {
-            let wait = shared.settings.borrow().bounds.watch_timeout();
-            let stale = wait + WATCH_TIMEOUT_MARGIN + STALE_MARGIN;
-            if is_failing || Duration::from_millis(age_ms) > stale {
+            let max_age = shared.sync_timing().max_age;
+            if is_failing || Duration::from_millis(age_ms) > max_age {
                 return Err(FeedEnd::Stale);
             }
             shared.record_feed(Instant::now());
--- a/crates/cornelwinch_relay/src/sync.rs
+++ b/crates/cornelwinch_relay/src/sync.rs
@@ -1,14 +1,15 @@
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use cornelwinch_routing::{HostEntry, source_count, source_order};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, timeout_at};
 
 use crate::follow::{STORE_CALL_TIMEOUT, StoreFollower, list_hosts};
 use crate::registration::{keep_registered, register};
 use crate::shared::Shared;
 use crate::store::StoreClient;
-use crate::subscribe::Subscription;
+use crate::subscribe::{FeedEnd, Subscription};
 
 /// Time within which hosts that start together register.
 const HOST_REGISTRATION_TIME: Duration = Duration::from_millis(1_500);
@@ -44,22 +45,31 @@
     list_hosts(&shared, &mut client, false).await;
     drop(client);
     tokio::task::spawn_local(keep_registered(shared.clone()));
+    let mut lost_source_at: Option<Instant> = None;
     loop {
         let is_store_failing = follower.is_some() && shared.store_health.is_failing();
         let (sources, is_preferred_source) =
             source_candidates(&shared.hosts.borrow(), &this_host, is_store_failing);
         for source in sources {
-            let mut subscription = match Subscription::open(&shared, source.peer).await {
-                Ok(subscription) => subscription,
-                Err(end) => {
+            let search_end = lost_source_at.zip(shared.sync_timing().search_time);
+            let found = match search_end {
+                Some((lost_at, time)) => {
+                    let end = tokio::time::Instant::from_std(lost_at + time);
+                    timeout_at(end, find_source(&shared, source.peer)).await
+                }
+                None => Ok(find_source(&shared, source.peer).await),
+            };
+            let subscription = match found {
+                Ok(Ok(subscription)) => subscription,
+                Ok(Err(end)) => {
                     log::info!("event=source_refused peer={} reason={end:?}", source.name);
                     continue;
                 }
+                Err(_) => {
+                    log::info!("event=source_search_ended peer={}", source.name);
+                    break;
+                }
             };
-            if let Err(end) = subscription.catch_up(&shared).await {
-                log::info!("event=source_refused peer={} reason={end:?}", source.name);
-                continue;
-            }
             log::info!("event=source_found peer={}", source.name);
             follower = None;
             shared.set_source(false);
@@ -71,7 +81,9 @@
             }
             let end = run.await;
             log::info!("event=source_lost peer={} reason={end:?}", source.name);
+            lost_source_at = Some(Instant::now());
         }
+        lost_source_at = None;
         if follower.is_none() {
             follower = Some(follow_store(&shared));
             // The store's health is unknown until its first answer or a timeout.
@@ -81,6 +93,13 @@
     }
 }
 
+/// Connects to a source and catches up with it.
+async fn find_source(shared: &Shared, peer: SocketAddr) -> Result<Subscription, FeedEnd> {
+    let mut subscription = Subscription::open(shared, peer).await?;
+    subscription.catch_up(shared).await?;
+    Ok(subscription)
+}
+
 /// Waits until the next search for a source. A preferred source that cannot reach the store
 /// searches at once. The other hosts keep their interval during an outage, since they all ask the
 /// same few hosts.
