routing, relay: let hosts that are removed leave the shares again

Cause: the number of hosts that divides limits was the largest seen in the lifetime of the process, so hosts that are gone for good kept their shares.

Change: `HostShares` counts the listed hosts and those removed within the last 33 minutes. A share shrinks as soon as a new host is listed. It grows when each removed host has learned of its removal or has had no confirmed host list for 30 minutes, after which it uses the share for an unknown number of hosts. The two durations are measured on each host's own clock; the difference covers the age of a list when it confirms a share (stale reads, list interval, feed) and the drift of clocks. A heartbeat carries the age of the source's host list; the age of its knowledge stands in for it if an older build sends none. A host that finds itself removed gives up its share and registers again.

Not covered: a process that starts while a removed host is alive and unaware does not know of that host; a new host registered at the first attempt uses its share after 1.5 s, while others may list it up to 4 s later. Cost: in a store outage of more than 30 minutes hosts use one connection to each upstream and nothing of the other limits.

--- a/crates/cornelwinch_relay/src/apply.rs
+++ b/crates/cornelwinch_relay/src/apply.rs
@@ -122,20 +122,33 @@
         })
         .collect();
     log::info!("event=hosts_changed count={}", hosts.len());
-    let mut core = shared.core.borrow_mut();
     let this_host = shared.settings.borrow().host.clone();
-    if !core.is_settling && hosts.iter().any(|host| host.name == this_host) {
-        core.max_host_count = core.max_host_count.max(Some(hosts.len()));
+    let is_listed = hosts.iter().any(|host| host.name == this_host);
+    *shared.hosts.borrow_mut() = hosts;
+    let mut core = shared.core.borrow_mut();
+    if is_listed {
+        core.host_shares
+            .record_list(Instant::now(), &shared.hosts.borrow());
+    } else if core.host_shares.record_removal() {
+        log::warn!("event=host_removed");
+        core.is_settling = true;
     }
-    let count = core.host_count();
+    drop(core);
+    divide_limits(shared);
+}
+
+/// Divides the limits of upstreams among the hosts by the current number of shares.
+pub(crate) fn divide_limits(shared: &Shared) {
+    let mut core = shared.core.borrow_mut();
+    let now = Instant::now();
+    core.update_host_count(now);
     // Without named hosts this host gets none of the permits that remain after an equal division.
-    let named = if core.is_settling {
-        Vec::new()
+    let named = if core.has_share() {
+        core.host_shares.hosts(now)
     } else {
-        hosts.clone()
+        Vec::new()
     };
-    core.fleet
-        .set_hosts(HostPermits::new(this_host, named, count));
-    drop(core);
-    *shared.hosts.borrow_mut() = hosts;
+    let this_host = shared.settings.borrow().host.clone();
+    let permits = HostPermits::new(this_host, named, core.host_count());
+    core.fleet.set_hosts(permits);
 }
--- a/crates/cornelwinch_relay/src/core.rs
+++ b/crates/cornelwinch_relay/src/core.rs
@@ -1,8 +1,8 @@
 use std::time::{Duration, Instant};
 
 use cornelwinch_routing::{
-    CrashTracker, Fleet, GatherPlan, HostPermits, RetryBudget, Route, RouteTable, Service, Target,
-    UpstreamLimits, WeightedRoundRobin,
+    CrashTracker, Fleet, GatherPlan, HostPermits, HostShares, RetryBudget, Route, RouteTable,
+    Service, Target, UpstreamLimits, WeightedRoundRobin,
 };
 use cornelwinch_types::{Name, SortedMap};
 use std::rc::Rc;
@@ -41,8 +41,9 @@
     pub(crate) metrics: Metrics,
     /// Rate limit on log lines about failed legs.
     pub(crate) leg_log_limit: LineLimit,
-    /// Largest number of registered hosts, this one included, seen since this process started.
-    pub(crate) max_host_count: Option<usize>,
+    pub(crate) host_shares: HostShares,
+    /// Number of hosts among which limits are divided, as last returned by `host_shares`.
+    known_host_count: Option<usize>,
     /// True while the host list may be short because this host registered late, possibly together
     /// with others.
     pub(crate) is_settling: bool,
@@ -64,7 +65,8 @@
             crash_tracker: CrashTracker::default(),
             metrics: Metrics::default(),
             leg_log_limit: LineLimit::default(),
-            max_host_count: None,
+            host_shares: HostShares::default(),
+            known_host_count: None,
             is_settling: false,
             rng: fastrand::Rng::new(),
             split_round_robins: SortedMap::new(),
@@ -75,7 +77,26 @@
 
     /// Returns the number of hosts among which shared limits are divided.
     pub(crate) fn host_count(&self) -> usize {
-        self.max_host_count.unwrap_or(UNKNOWN_HOST_COUNT).max(1)
+        self.known_host_count.unwrap_or(UNKNOWN_HOST_COUNT).max(1)
+    }
+
+    /// Updates the number of hosts among which limits are divided. Returns true if it changed.
+    pub(crate) fn update_host_count(&mut self, now: Instant) -> bool {
+        let known = if self.is_settling {
+            None
+        } else {
+            self.host_shares.count(now)
+        };
+        let before = std::mem::replace(&mut self.known_host_count, known);
+        if before != known {
+            log::info!("event=host_share_changed hosts={known:?} before={before:?}");
+        }
+        before != known
+    }
+
+    /// Returns true if this host may use a share of limits.
+    pub(crate) fn has_share(&self) -> bool {
+        self.known_host_count.is_some()
     }
 
     /// Returns this host's share of an upstream's connections, and the rate that a cold upstream
--- a/crates/cornelwinch_relay/src/feed.rs
+++ b/crates/cornelwinch_relay/src/feed.rs
@@ -196,6 +196,10 @@
             u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
         }),
         is_failing: shared.store_health.is_failing(),
+        hosts_age_ms: shared
+            .hosts_confirmed_at
+            .get()
+            .and_then(|at| u64::try_from(at.elapsed().as_millis()).ok()),
     }
 }
 
--- a/crates/cornelwinch_relay/src/feed_message.rs
+++ b/crates/cornelwinch_relay/src/feed_message.rs
@@ -59,6 +59,9 @@
         age_ms: u64,
         /// True if the source's last call to the store failed.
         is_failing: bool,
+        /// Time since the source last listed the hosts; older builds do not send it.
+        #[serde(default)]
+        hosts_age_ms: Option<u64>,
     },
 }
 
--- a/crates/cornelwinch_relay/src/follow.rs
+++ b/crates/cornelwinch_relay/src/follow.rs
@@ -162,8 +162,10 @@
 
 /// Lists the hosts once. On failure the previous list stays in use.
 pub(crate) async fn list_hosts(shared: &Rc<Shared>, client: &mut StoreClient, stale: bool) {
+    let asked_at = Instant::now();
     match list(shared, client, ObjectKind::Hosts, stale).await {
         Ok(page) => {
+            shared.confirm_hosts(asked_at);
             ingest_page(shared, ObjectKind::Hosts, page, Shared::ingest_list);
         }
         Err(error) => log::info!("event=host_list_failed {error}"),
--- a/crates/cornelwinch_relay/src/relay.rs
+++ b/crates/cornelwinch_relay/src/relay.rs
@@ -10,6 +10,7 @@
 use tokio::task::LocalSet;
 use tokio::time::{interval, sleep};
 
+use crate::apply::divide_limits;
 use crate::callers::serve_callers;
 use crate::dialect::Dialect;
 use crate::error::{BindSnafu, ProcessSnafu, RelayError};
@@ -161,6 +162,10 @@
     loop {
         ticks.tick().await;
         let now = Instant::now();
+        let is_share_changed = shared.core.borrow_mut().update_host_count(now);
+        if is_share_changed {
+            divide_limits(&shared);
+        }
         let config = shared.budget_config();
         let expired = {
             let mut core = shared.core.borrow_mut();
--- a/crates/cornelwinch_relay/src/shared.rs
+++ b/crates/cornelwinch_relay/src/shared.rs
@@ -42,6 +42,8 @@
     pub(crate) mirror: RefCell<Mirror>,
     /// The registered hosts.
     pub(crate) hosts: RefCell<Vec<HostEntry>>,
+    /// Time at which the store confirmed the host list.
+    pub(crate) hosts_confirmed_at: Cell<Option<Instant>>,
     pub(crate) store_health: StoreHealth,
     /// Sends encoded messages to the hosts that this one feeds.
     pub(crate) feed: broadcast::Sender<Bytes>,
@@ -65,6 +67,7 @@
             active: Cell::new(0),
             mirror: RefCell::default(),
             hosts: RefCell::default(),
+            hosts_confirmed_at: Cell::new(None),
             store_health: StoreHealth::default(),
             feed: broadcast::channel(FEED_QUEUE_MESSAGES).0,
             is_source: Cell::new(false),
@@ -108,6 +111,13 @@
         self.last_feed.set(Some(now));
     }
 
+    /// Records that the store confirmed the host list at a time.
+    pub(crate) fn confirm_hosts(&self, at: Instant) {
+        let confirmed_at = self.hosts_confirmed_at.get().max(Some(at));
+        self.hosts_confirmed_at.set(confirmed_at);
+        self.core.borrow_mut().host_shares.confirm(at);
+    }
+
     /// Returns the time since this host's copy of the store was last confirmed.
     pub(crate) fn store_data_age(&self, now: Instant) -> Option<Duration> {
         if self.is_source() {
--- a/crates/cornelwinch_relay/src/subscribe.rs
+++ b/crates/cornelwinch_relay/src/subscribe.rs
@@ -154,12 +154,21 @@
             shared.ingest_changes(ObjectKind::DesiredState, revision, items, None);
         }
         FeedMessage::Crashes { reports } => shared.record_crash_reports(&reports),
-        FeedMessage::Beat { age_ms, is_failing } => {
+        FeedMessage::Beat {
+            age_ms,
+            is_failing,
+            hosts_age_ms,
+        } => {
             let max_age = shared.sync_timing().max_age;
             if is_failing || Duration::from_millis(age_ms) > max_age {
                 return Err(FeedEnd::Stale);
             }
-            shared.record_feed(Instant::now());
+            let now = Instant::now();
+            shared.record_feed(now);
+            let hosts_age = Duration::from_millis(hosts_age_ms.unwrap_or(age_ms));
+            if let Some(at) = now.checked_sub(hosts_age) {
+                shared.confirm_hosts(at);
+            }
         }
     }
     Ok(())
