routing, relay, platform: remove the entries of hosts that are gone

Cause: nothing removed the entry of a host that is gone for good, so it stayed in the division into shares for ever.

Change: each preferred source asks an equal part of the hosts (at most about 50, so the work does not grow with their number) for their names, ten times in `host_gone_s` (a new setting, 1,800 s by default). It removes the entry of a host that did not answer in all that time, one in a round, under the entry's revision and only if the entry is unchanged. If fewer than half of the hosts that it asks answer, the source may itself be cut off, and it starts anew. A host that is alive after all registers again (`keep_registered`), and until the others use its share it has learned of the removal (`HostShares`). In a tier of two hosts nothing is removed, since one silent host cannot be told from a cut.

Not verified: that the platform's store takes `DELETE` of an object with its revision in the query `revision`, and `GET` of a single object. If the revision is ignored, a live host whose entry was removed still registers again; if the call is refused, the entry stays, as before.

--- a/crates/cornelwinch_relay/src/dialect.rs
+++ b/crates/cornelwinch_relay/src/dialect.rs
@@ -65,12 +65,27 @@
     pub register_host: fn(host: &HostEntry) -> WriteRequest,
     /// Returns the request that replaces the entry of this host.
     pub replace_host: fn(host: &HostEntry) -> WriteRequest,
+    /// Returns the path that reads the entry of a host.
+    pub host_path: fn(host: &Name) -> String,
+    /// Decodes the entry of a host, with its revision.
+    pub decode_host: fn(body: &[u8]) -> Result<RegisteredHost, String>,
+    /// Returns the request that removes the entry of a host if it still has a revision.
+    pub remove_host: fn(host: &Name, revision: u64) -> WriteRequest,
     /// Decodes one page of a list.
     pub decode_page: fn(kind: ObjectKind, body: &[u8]) -> Result<ObjectPage, String>,
     /// Decodes the changes that a watch returns; `next` of the returned page is `None`.
     pub decode_events: fn(kind: ObjectKind, body: &[u8]) -> Result<ObjectPage, String>,
 }
 
+/// The entry of a host as it is stored.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RegisteredHost {
+    /// The entry.
+    pub entry: HostEntry,
+    /// Revision of its last change.
+    pub revision: u64,
+}
+
 /// An HTTP request that changes the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct WriteRequest {
--- a/crates/cornelwinch_relay/src/lib.rs
+++ b/crates/cornelwinch_relay/src/lib.rs
@@ -17,6 +17,7 @@
 mod fetch;
 mod follow;
 mod gather_limits;
+mod gone_hosts;
 mod handle;
 mod headers;
 mod ingest;
@@ -41,8 +42,8 @@
 mod sync;
 
 pub use dialect::{
-    Dialect, HeaderNames, ObjectKind, ObjectPage, ObjectProblem, ObjectValue, StoreApi,
-    StoreObject, WriteRequest,
+    Dialect, HeaderNames, ObjectKind, ObjectPage, ObjectProblem, ObjectValue, RegisteredHost,
+    StoreApi, StoreObject, WriteRequest,
 };
 pub use error::RelayError;
 pub use logging::{LogHandle, open_log};
--- a/crates/cornelwinch_relay/src/relay.rs
+++ b/crates/cornelwinch_relay/src/relay.rs
@@ -15,6 +15,7 @@
 use crate::dialect::Dialect;
 use crate::error::{BindSnafu, ProcessSnafu, RelayError};
 use crate::feed::serve_feed;
+use crate::gone_hosts::remove_gone_hosts;
 use crate::logging::{FLUSH_INTERVAL, LogHandle};
 use crate::operator::{answer_metrics, answer_readiness, serve_http};
 use crate::report::report_crashes;
@@ -78,6 +79,7 @@
     tokio::task::spawn_local(serve_http(shared.clone(), readiness, answer_readiness));
     tokio::task::spawn_local(serve_http(shared.clone(), metrics, answer_metrics));
     tokio::task::spawn_local(clean_up(shared.clone()));
+    tokio::task::spawn_local(remove_gone_hosts(shared.clone()));
     tokio::task::spawn_local(report_crashes(shared.clone()));
     tokio::task::spawn_local(probe_lost(shared.clone()));
     Ok(Relay {
--- a/crates/cornelwinch_relay/src/settings.rs
+++ b/crates/cornelwinch_relay/src/settings.rs
@@ -16,6 +16,10 @@
 /// Memory of the process if the settings state none, in MiB.
 const DEFAULT_MEMORY_MB: u64 = 256;
 
+/// Time after which a silent host counts as gone if the settings state none, in seconds. It exceeds
+/// repairs and restarts of a machine.
+const DEFAULT_HOST_GONE_S: u64 = 1_800;
+
 /// Largest memory that the settings may state, in MiB.
 const MAX_MEMORY_MB: u64 = 1 << 20;
 
@@ -61,6 +65,9 @@
     /// Memory that the process may use, in MiB.
     #[serde(default = "default_memory")]
     pub memory_mb: u64,
+    /// Time after which the entry of a host that answers no other host is removed, in seconds.
+    #[serde(default = "default_host_gone")]
+    pub host_gone_s: u64,
     /// How the upstream of a leg is chosen.
     #[serde(default)]
     pub placement: PlacementMode,
@@ -160,7 +167,16 @@
     DEFAULT_MEMORY_MB
 }
 
+fn default_host_gone() -> u64 {
+    DEFAULT_HOST_GONE_S
+}
+
 impl RelaySettings {
+    /// Returns the time after which the entry of a silent host is removed.
+    pub(crate) fn host_gone_time(&self) -> Duration {
+        Duration::from_secs(self.host_gone_s)
+    }
+
     /// Returns the memory for answers of upstreams in bytes.
     pub(crate) fn answer_memory(&self) -> usize {
         let bytes = (self.memory_mb << 20) as f64 * ANSWER_MEMORY_RATIO;
@@ -198,6 +214,9 @@
                 "memory_mb must be 1 to {MAX_MEMORY_MB}, not {memory}"
             )));
         }
+        if settings.host_gone_s == 0 {
+            return Err(fail("host_gone_s must be above 0".to_owned()));
+        }
         settings.bounds.check().map_err(fail)?;
         Ok(settings)
     }
--- a/crates/cornelwinch_relay/src/subscribe.rs
+++ b/crates/cornelwinch_relay/src/subscribe.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use cornelwinch_types::Name;
 use futures_util::StreamExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -42,15 +43,7 @@
     /// Connects to a host, waits for its `Hello` and sends the revisions that this host holds.
     pub(crate) async fn open(shared: &Shared, addr: SocketAddr) -> Result<Self, FeedEnd> {
         let open = async {
-            let stream = TcpStream::connect(addr)
-                .await
-                .map_err(|_| FeedEnd::Unreachable)?;
-            stream.set_nodelay(true).map_err(|_| FeedEnd::Unreachable)?;
-            let url = format!("ws://{addr}{FEED_PATH}");
-            let (socket, _) = client_async_with_config(url, stream, Some(socket_config()))
-                .await
-                .map_err(|_| FeedEnd::Unreachable)?;
-            let mut subscription = Self { socket };
+            let mut subscription = Self::connect(addr).await?;
             match subscription.next().await? {
                 FeedMessage::Hello {
                     is_source: true, ..
@@ -69,6 +62,18 @@
             .unwrap_or(Err(FeedEnd::Unreachable))
     }
 
+    async fn connect(addr: SocketAddr) -> Result<Self, FeedEnd> {
+        let stream = TcpStream::connect(addr)
+            .await
+            .map_err(|_| FeedEnd::Unreachable)?;
+        stream.set_nodelay(true).map_err(|_| FeedEnd::Unreachable)?;
+        let url = format!("ws://{addr}{FEED_PATH}");
+        let (socket, _) = client_async_with_config(url, stream, Some(socket_config()))
+            .await
+            .map_err(|_| FeedEnd::Unreachable)?;
+        Ok(Self { socket })
+    }
+
     /// Applies the source's catch-up messages up to its first heartbeat.
     pub(crate) async fn catch_up(&mut self, shared: &Shared) -> Result<(), FeedEnd> {
         let heartbeat_timeout = shared.sync_timing().heartbeat_timeout;
@@ -117,6 +122,20 @@
     }
 }
 
+/// Returns the name of the host at an address, which it sends in its first message.
+pub(crate) async fn ask_name(addr: SocketAddr) -> Result<Name, FeedEnd> {
+    let ask = async {
+        let mut subscription = Subscription::connect(addr).await?;
+        match subscription.next().await? {
+            FeedMessage::Hello { host, .. } => Ok(host),
+            _ => Err(FeedEnd::Malformed),
+        }
+    };
+    timeout(HELLO_TIMEOUT, ask)
+        .await
+        .unwrap_or(Err(FeedEnd::Unreachable))
+}
+
 fn apply_message(shared: &Shared, message: FeedMessage) -> Result<(), FeedEnd> {
     match message {
         FeedMessage::Hello { .. } | FeedMessage::Known { .. } => {}
--- a/crates/cornelwinch_routing/src/lib.rs
+++ b/crates/cornelwinch_routing/src/lib.rs
@@ -2,6 +2,7 @@
 //! balancing over upstreams, retry budgets, overload limits and the merging of
 //! partial answers.
 
+mod absent_hosts;
 mod budget;
 mod change;
 mod cold;
@@ -22,6 +23,7 @@
 mod upstream;
 mod withdrawal;
 
+pub use absent_hosts::AbsentHosts;
 pub use budget::{RepeatKind, RetryBudget, RetryBudgetConfig, RetryBudgetUsage};
 pub use change::DesiredStateDelta;
 pub use cold::ColdRateLimiter;
