--- a/crates/cornelwinch_relay/src/apply.rs
+++ b/crates/cornelwinch_relay/src/apply.rs
@@ -111,7 +111,9 @@
     }
 }
 
-fn apply_hosts(shared: &Shared) {
+/// Applies the mirrored host list. It counts only if this host is in it: a list without it may lack
+/// others too, and those that are listed divide the whole limit among themselves.
+pub(crate) fn apply_hosts(shared: &Shared) {
     let items = shared.mirror.borrow().items(ObjectKind::Hosts);
     let hosts: Vec<HostEntry> = items
         .into_iter()
@@ -124,14 +126,36 @@
         })
         .collect();
     log::info!("event=hosts_changed count={}", hosts.len());
-    let mut core = shared.core.borrow_mut();
-    core.max_host_count = core.max_host_count.max(Some(hosts.len()));
-    let count = core.host_count();
     let this_host = shared.settings.borrow().host.clone();
-    core.fleet
-        .set_hosts(HostPermits::new(this_host.clone(), hosts.clone(), count));
     let place = hosts.iter().filter(|host| host.name < this_host).count();
-    core.crash_tracker.set_place(place, hosts.len());
-    drop(core);
+    let host_count = hosts.len();
+    let is_listed = hosts.iter().any(|host| host.name == this_host);
     *shared.hosts.borrow_mut() = hosts;
+    let mut core = shared.core.borrow_mut();
+    core.crash_tracker.set_place(place, host_count);
+    if is_listed {
+        core.host_shares
+            .record_list(Instant::now(), &shared.hosts.borrow());
+    } else if core.host_shares.record_removal() {
+        log::warn!("event=host_removed");
+        core.is_settling = true;
+    }
+    drop(core);
+    divide_limits(shared);
+}
+
+/// Divides the limits of upstreams among the hosts by the current number of shares.
+pub(crate) fn divide_limits(shared: &Shared) {
+    let mut core = shared.core.borrow_mut();
+    let now = Instant::now();
+    core.update_host_count(now);
+    // Without named hosts this host gets none of the permits that remain after an equal division.
+    let named = if core.has_share() {
+        core.host_shares.hosts(now)
+    } else {
+        Vec::new()
+    };
+    let this_host = shared.settings.borrow().host.clone();
+    let permits = HostPermits::new(this_host, named, core.host_count());
+    core.fleet.set_hosts(permits);
 }
--- a/crates/cornelwinch_relay/src/core.rs
+++ b/crates/cornelwinch_relay/src/core.rs
@@ -1,8 +1,8 @@
 use std::time::{Duration, Instant};
 
 use cornelwinch_routing::{
-    CrashTracker, Fleet, GatherPlan, HostPermits, IndexKey, OrganisationTable, RetryBudget, Route,
-    RouteTable, Service, Target, UpstreamLimits, WeightedRoundRobin,
+    CrashTracker, Fleet, GatherPlan, HostPermits, HostShares, IndexKey, OrganisationTable,
+    RetryBudget, Route, RouteTable, Service, Target, UpstreamLimits, WeightedRoundRobin,
 };
 use cornelwinch_types::{Name, SortedMap};
 use std::rc::Rc;
@@ -13,8 +13,10 @@
 use crate::line_limit::LineLimit;
 use crate::metrics::Metrics;
 
-/// Number of hosts that is assumed until the registered hosts have been listed.
-const DEFAULT_HOST_COUNT: usize = 8;
+/// Number of hosts that is assumed until a host list contains this host. It is the largest tier that
+/// the software is designed for: the others may already divide the whole limit, so this host may add
+/// next to nothing to it. A share still has one connection to each upstream.
+const UNKNOWN_HOST_COUNT: usize = 7_900;
 
 /// Share of the rate limit of a cold upstream that is used. Requests sent in one second may arrive
 /// in the next, and count there.
@@ -46,8 +48,12 @@
     pub(crate) metrics: Metrics,
     /// Rate limit on log lines about failed legs.
     pub(crate) leg_log_limit: LineLimit,
-    /// Largest number of registered hosts seen since this process started.
-    pub(crate) max_host_count: Option<usize>,
+    pub(crate) host_shares: HostShares,
+    /// Number of hosts among which limits are divided, as last returned by `host_shares`.
+    known_host_count: Option<usize>,
+    /// True while the host list may be short because this host registered late, possibly together
+    /// with others.
+    pub(crate) is_settling: bool,
     pub(crate) rng: fastrand::Rng,
     split_round_robins: SortedMap<Name, WeightedRoundRobin>,
     pub(crate) gather_limits: GatherLimits,
@@ -58,7 +64,7 @@
 impl Core {
     pub(crate) fn new(this_host: Name) -> Self {
         let mut fleet = Fleet::new();
-        fleet.set_hosts(HostPermits::new(this_host, Vec::new(), DEFAULT_HOST_COUNT));
+        fleet.set_hosts(HostPermits::new(this_host, Vec::new(), UNKNOWN_HOST_COUNT));
         Self {
             table: None,
             organisations: None,
@@ -68,7 +74,9 @@
             crash_tracker: CrashTracker::default(),
             metrics: Metrics::default(),
             leg_log_limit: LineLimit::default(),
-            max_host_count: None,
+            host_shares: HostShares::default(),
+            known_host_count: None,
+            is_settling: false,
             rng: fastrand::Rng::new(),
             split_round_robins: SortedMap::new(),
             gather_limits: GatherLimits::default(),
@@ -78,7 +86,26 @@
 
     /// Returns the number of hosts among which shared limits are divided.
     pub(crate) fn host_count(&self) -> usize {
-        self.max_host_count.unwrap_or(DEFAULT_HOST_COUNT).max(1)
+        self.known_host_count.unwrap_or(UNKNOWN_HOST_COUNT).max(1)
+    }
+
+    /// Updates the number of hosts among which limits are divided. Returns true if it changed.
+    pub(crate) fn update_host_count(&mut self, now: Instant) -> bool {
+        let known = if self.is_settling {
+            None
+        } else {
+            self.host_shares.count(now)
+        };
+        let before = std::mem::replace(&mut self.known_host_count, known);
+        if before != known {
+            log::info!("event=host_share_changed hosts={known:?} before={before:?}");
+        }
+        before != known
+    }
+
+    /// Returns true if this host may use a share of limits.
+    pub(crate) fn has_share(&self) -> bool {
+        self.known_host_count.is_some()
     }
 
     /// Returns this host's share of an upstream's connections, and the rate that a cold upstream
--- a/crates/cornelwinch_relay/src/lib.rs
+++ b/crates/cornelwinch_relay/src/lib.rs
@@ -18,6 +18,7 @@
 mod fetch;
 mod follow;
 mod gather_limits;
+mod gone_hosts;
 mod handle;
 mod headers;
 mod ingest;
@@ -31,6 +32,7 @@
 mod operator;
 mod outcome;
 mod pool;
+mod registration;
 mod relay;
 mod report;
 mod scatter;
@@ -44,8 +46,8 @@
 mod verdict;
 
 pub use dialect::{
-    Dialect, HeaderNames, ObjectKind, ObjectPage, ObjectProblem, ObjectValue, StoreApi,
-    StoreObject, WriteRequest,
+    Dialect, HeaderNames, ObjectKind, ObjectPage, ObjectProblem, ObjectValue, RegisteredHost,
+    StoreApi, StoreObject, WriteRequest,
 };
 pub use error::RelayError;
 pub use logging::{LogHandle, open_log};
--- a/crates/cornelwinch_relay/src/relay.rs
+++ b/crates/cornelwinch_relay/src/relay.rs
@@ -10,10 +10,12 @@
 use tokio::task::LocalSet;
 use tokio::time::{interval, sleep};
 
+use crate::apply::divide_limits;
 use crate::callers::serve_callers;
 use crate::dialect::Dialect;
 use crate::error::{BindSnafu, ProcessSnafu, RelayError};
 use crate::feed::serve_feed;
+use crate::gone_hosts::remove_gone_hosts;
 use crate::logging::{FLUSH_INTERVAL, LogHandle};
 use crate::marks::get_marks;
 use crate::operator::{answer_metrics, answer_readiness, serve_http};
@@ -78,6 +80,7 @@
     tokio::task::spawn_local(serve_http(shared.clone(), readiness, answer_readiness));
     tokio::task::spawn_local(serve_http(shared.clone(), metrics, answer_metrics));
     tokio::task::spawn_local(clean_up(shared.clone()));
+    tokio::task::spawn_local(remove_gone_hosts(shared.clone()));
     tokio::task::spawn_local(report_crashes(shared.clone()));
     tokio::task::spawn_local(get_marks(shared.clone()));
     tokio::task::spawn_local(probe_lost(shared.clone()));
@@ -169,6 +172,10 @@
     loop {
         ticks.tick().await;
         let now = Instant::now();
+        let is_share_changed = shared.core.borrow_mut().update_host_count(now);
+        if is_share_changed {
+            divide_limits(&shared);
+        }
         let config = shared.budget_config();
         let expired = {
             let mut core = shared.core.borrow_mut();
--- a/crates/cornelwinch_relay/src/settings.rs
+++ b/crates/cornelwinch_relay/src/settings.rs
@@ -2,6 +2,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use cornelwinch_routing::SyncTiming;
 use cornelwinch_types::Name;
 use serde::Deserialize;
 use snafu::ResultExt;
@@ -9,15 +10,16 @@
 use crate::RelayError;
 use crate::error::ReadSettingsSnafu;
 
-/// Timeout of a watch as a share of the recovery time `stable_ms`.
-const WATCH_TIMEOUT_RATIO: f64 = 0.7;
-
 /// Share of the process's memory that answers of upstreams may take while they are read.
 const ANSWER_MEMORY_RATIO: f64 = 0.25;
 
 /// Memory of the process if the settings state none, in MiB.
 const DEFAULT_MEMORY_MB: u64 = 256;
 
+/// Time after which a silent host counts as gone if the settings state none, in seconds. It exceeds
+/// repairs and restarts of a machine.
+const DEFAULT_HOST_GONE_S: u64 = 1_800;
+
 /// Largest memory that the settings may state, in MiB.
 const MAX_MEMORY_MB: u64 = 1 << 20;
 
@@ -63,6 +65,9 @@
     /// Memory that the process may use, in MiB.
     #[serde(default = "default_memory")]
     pub memory_mb: u64,
+    /// Time after which the entry of a host that answers no other host is removed, in seconds.
+    #[serde(default = "default_host_gone")]
+    pub host_gone_s: u64,
     /// How the upstream of a leg is chosen.
     #[serde(default)]
     pub placement: PlacementMode,
@@ -162,7 +167,16 @@
     DEFAULT_MEMORY_MB
 }
 
+fn default_host_gone() -> u64 {
+    DEFAULT_HOST_GONE_S
+}
+
 impl RelaySettings {
+    /// Returns the time after which the entry of a silent host is removed.
+    pub(crate) fn host_gone_time(&self) -> Duration {
+        Duration::from_secs(self.host_gone_s)
+    }
+
     /// Returns the memory for answers of upstreams in bytes.
     pub(crate) fn answer_memory(&self) -> usize {
         let bytes = (self.memory_mb << 20) as f64 * ANSWER_MEMORY_RATIO;
@@ -200,6 +214,9 @@
                 "memory_mb must be 1 to {MAX_MEMORY_MB}, not {memory}"
             )));
         }
+        if settings.host_gone_s == 0 {
+            return Err(fail("host_gone_s must be above 0".to_owned()));
+        }
         settings.bounds.check().map_err(fail)?;
         Ok(settings)
     }
@@ -254,6 +271,16 @@
         if self.cap.is_some_and(|cap| cap.window_s == 0.0) {
             return Err("bounds.cap.window_s must be above 0".to_owned());
         }
+        let times = [
+            ("drain_ms", self.drain_ms),
+            ("config_apply_ms", self.config_apply_ms),
+            ("evacuation_ms", self.evacuation_ms),
+        ];
+        for (key, value) in times {
+            if value == Some(0) {
+                return Err(format!("bounds.{key} must be above 0"));
+            }
+        }
         if self.stable_ms == 0 {
             return Err("bounds.stable_ms must be above 0".to_owned());
         }
@@ -267,7 +294,18 @@
     /// is detected soon after this time, so that missed changes can be read again within the
     /// recovery time.
     pub fn watch_timeout(&self) -> Duration {
-        Duration::from_millis(self.stable_ms).mul_f64(WATCH_TIMEOUT_RATIO)
+        self.sync_timing().watch_wait
+    }
+
+    /// Returns the times that follow from the smallest of the bounds within which a change has to
+    /// be in force.
+    pub fn sync_timing(&self) -> SyncTiming {
+        let bounds = [self.drain_ms, self.config_apply_ms, self.evacuation_ms];
+        let smallest = bounds.into_iter().flatten().min();
+        SyncTiming::new(
+            Duration::from_millis(self.stable_ms),
+            smallest.map(Duration::from_millis),
+        )
     }
 
     /// Returns the grace period between SIGTERM and SIGKILL.
--- a/crates/cornelwinch_relay/src/subscribe.rs
+++ b/crates/cornelwinch_relay/src/subscribe.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use cornelwinch_types::Name;
 use futures_util::StreamExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -8,24 +9,13 @@
 use tokio_tungstenite::{WebSocketStream, client_async_with_config};
 
 use crate::dialect::{ObjectKind, ObjectValue, StoreObject};
-use crate::feed::{FEED_PATH, HEARTBEAT_INTERVAL, send, socket_config};
+use crate::feed::{FEED_PATH, send, socket_config};
 use crate::feed_message::{FeedMessage, encode};
-use crate::follow::WATCH_TIMEOUT_MARGIN;
 use crate::shared::Shared;
 
 /// Timeout for connecting to a source and exchanging the first messages.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Time without a message after which a source counts as lost: two missed heartbeats plus one
-/// interval for network delay.
-const HEARTBEAT_TIMEOUT: Duration = HEARTBEAT_INTERVAL
-    .saturating_mul(2)
-    .saturating_add(HEARTBEAT_INTERVAL);
-
-/// Time beyond the timeout of a watch after which a source without an answer from the store counts
-/// as stale.
-const STALE_MARGIN: Duration = Duration::from_millis(500);
-
 /// Reason why a source does not feed this host, or no longer does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum FeedEnd {
@@ -53,15 +43,7 @@
     /// Connects to a host, waits for its `Hello` and sends the revisions that this host holds.
     pub(crate) async fn open(shared: &Shared, addr: SocketAddr) -> Result<Self, FeedEnd> {
         let open = async {
-            let stream = TcpStream::connect(addr)
-                .await
-                .map_err(|_| FeedEnd::Unreachable)?;
-            stream.set_nodelay(true).map_err(|_| FeedEnd::Unreachable)?;
-            let url = format!("ws://{addr}{FEED_PATH}");
-            let (socket, _) = client_async_with_config(url, stream, Some(socket_config()))
-                .await
-                .map_err(|_| FeedEnd::Unreachable)?;
-            let mut subscription = Self { socket };
+            let mut subscription = Self::connect(addr).await?;
             match subscription.next().await? {
                 FeedMessage::Hello {
                     is_source: true, ..
@@ -80,10 +62,23 @@
             .unwrap_or(Err(FeedEnd::Unreachable))
     }
 
+    async fn connect(addr: SocketAddr) -> Result<Self, FeedEnd> {
+        let stream = TcpStream::connect(addr)
+            .await
+            .map_err(|_| FeedEnd::Unreachable)?;
+        stream.set_nodelay(true).map_err(|_| FeedEnd::Unreachable)?;
+        let url = format!("ws://{addr}{FEED_PATH}");
+        let (socket, _) = client_async_with_config(url, stream, Some(socket_config()))
+            .await
+            .map_err(|_| FeedEnd::Unreachable)?;
+        Ok(Self { socket })
+    }
+
     /// Applies the source's catch-up messages up to its first heartbeat.
     pub(crate) async fn catch_up(&mut self, shared: &Shared) -> Result<(), FeedEnd> {
+        let heartbeat_timeout = shared.sync_timing().heartbeat_timeout;
         loop {
-            let message = match timeout(HEARTBEAT_TIMEOUT, self.next()).await {
+            let message = match timeout(heartbeat_timeout, self.next()).await {
                 Ok(message) => message?,
                 Err(_) => return Err(FeedEnd::Lost),
             };
@@ -97,8 +92,9 @@
 
     /// Applies the source's messages until the feed ends, and returns why it ended.
     pub(crate) async fn run(mut self, shared: &Shared) -> FeedEnd {
+        let heartbeat_timeout = shared.sync_timing().heartbeat_timeout;
         loop {
-            match timeout(HEARTBEAT_TIMEOUT, self.next()).await {
+            match timeout(heartbeat_timeout, self.next()).await {
                 Ok(Ok(message)) => {
                     if let Err(end) = apply_message(shared, message) {
                         return end;
@@ -126,6 +122,20 @@
     }
 }
 
+/// Returns the name of the host at an address, which it sends in its first message.
+pub(crate) async fn ask_name(addr: SocketAddr) -> Result<Name, FeedEnd> {
+    let ask = async {
+        let mut subscription = Subscription::connect(addr).await?;
+        match subscription.next().await? {
+            FeedMessage::Hello { host, .. } => Ok(host),
+            _ => Err(FeedEnd::Malformed),
+        }
+    };
+    timeout(HELLO_TIMEOUT, ask)
+        .await
+        .unwrap_or(Err(FeedEnd::Unreachable))
+}
+
 fn apply_message(shared: &Shared, message: FeedMessage) -> Result<(), FeedEnd> {
     match message {
         FeedMessage::Hello { .. } | FeedMessage::Known { .. } | FeedMessage::Marks { .. } => {}
@@ -163,13 +173,21 @@
             shared.ingest_changes(ObjectKind::DesiredState, revision, items, None);
         }
         FeedMessage::Crashes { reports } => shared.record_crash_reports(&reports),
-        FeedMessage::Beat { age_ms, is_failing } => {
-            let wait = shared.settings.borrow().bounds.watch_timeout();
-            let stale = wait + WATCH_TIMEOUT_MARGIN + STALE_MARGIN;
-            if is_failing || Duration::from_millis(age_ms) > stale {
+        FeedMessage::Beat {
+            age_ms,
+            is_failing,
+            hosts_age_ms,
+        } => {
+            let max_age = shared.sync_timing().max_age;
+            if is_failing || Duration::from_millis(age_ms) > max_age {
                 return Err(FeedEnd::Stale);
             }
-            shared.record_feed(Instant::now());
+            let now = Instant::now();
+            shared.record_feed(now);
+            let hosts_age = Duration::from_millis(hosts_age_ms.unwrap_or(age_ms));
+            if let Some(at) = now.checked_sub(hosts_age) {
+                shared.confirm_hosts(at);
+            }
         }
     }
     Ok(())
--- a/crates/cornelwinch_routing/src/lib.rs
+++ b/crates/cornelwinch_routing/src/lib.rs
@@ -2,6 +2,7 @@
 //! balancing over upstreams, retry budgets, overload limits and the merging of
 //! partial answers.
 
+mod absent_hosts;
 mod budget;
 mod change;
 mod cold;
@@ -9,6 +10,7 @@
 mod desired;
 mod fleet;
 mod health;
+mod host_shares;
 mod organisation;
 mod organisation_table;
 mod overload;
@@ -16,11 +18,13 @@
 mod return_schedule;
 mod round_robin;
 mod sources;
+mod sync_timing;
 mod table;
 mod top_k;
 mod upstream;
 mod withdrawal;
 
+pub use absent_hosts::AbsentHosts;
 pub use budget::{RepeatKind, RetryBudget, RetryBudgetConfig, RetryBudgetUsage};
 pub use change::DesiredStateDelta;
 pub use cold::ColdRateLimiter;
@@ -28,6 +32,7 @@
 pub use desired::{CallerLimits, DesiredState, GatherPlan, Route, RouteKind, Service, Target};
 pub use fleet::Fleet;
 pub use health::{HealthSignal, UpstreamHealth};
+pub use host_shares::HostShares;
 pub use organisation::{Cap, KeyDigest, Organisation};
 pub use organisation_table::{IndexKey, OrganisationProfile, OrganisationTable};
 pub use overload::{GatherLimit, GatherOutcome};
@@ -35,6 +40,7 @@
 pub use return_schedule::ReturnSchedule;
 pub use round_robin::WeightedRoundRobin;
 pub use sources::{HostEntry, source_count, source_order};
+pub use sync_timing::{StoreProbe, SyncTiming};
 pub use table::{RouteLookup, RouteTable};
 pub use top_k::{RECORD_BYTES, TopKMerge};
 pub use upstream::{UpstreamEndpoint, UpstreamEntry, UpstreamId, UpstreamLimits, UpstreamState};
