routing: caps of organisations with one refill in one place at a time

Cause: caps were decoded but there was no decision that keeps them over all hosts when some are partitioned, frozen or restarted.

Change: `CapStock` holds the tokens of a host and `CapPool` the buckets of the coordinator. A host refills its own share of a cap or delegates it; the coordinator's grants carry a stamp of its clock, the host's next report repeats it, and the delegation lasts 1.5 s from that stamp, so it ends at the coordinator before it ends at the host whatever the time on the way. Buckets and stocks hold what the rule leaves beside the refill. A token that has left a bucket is used within 200 ms, returns to a stock with room, or is lost, so a request that did not run can give its token back within the bound.

Ruled out: a delegation that the coordinator counts from the arrival of the report, since a frozen link makes it end later than the host's.

--- a/crates/cornelwinch_routing/src/lib.rs
+++ b/crates/cornelwinch_routing/src/lib.rs
@@ -3,6 +3,9 @@
 //! partial answers.
 
 mod budget;
+mod cap;
+mod cap_pool;
+mod cap_stock;
 mod change;
 mod cold;
 mod crashes;
@@ -22,6 +25,9 @@
 mod withdrawal;
 
 pub use budget::{RepeatKind, RetryBudget, RetryBudgetConfig, RetryBudgetUsage};
+pub use cap::{CapGrant, CapReport, CapRule};
+pub use cap_pool::CapPool;
+pub use cap_stock::{CapDecision, CapStock, CapToken};
 pub use change::DesiredStateDelta;
 pub use cold::ColdRateLimiter;
 pub use crashes::{CrashReport, CrashTracker, RequestFingerprint};
