relay: caps of organisations are kept over all hosts by a coordinator

Cause: the decision on caps had no connection between hosts, and no request asked it.

Change: while a version has caps and the settings have `bounds.cap`, each host keeps one connection to `/coordination` of the first host in the order of sources that follows the store; that host serves itself without a socket. A request above the cap gets 429 with the time of the next token; one without a token waits for an answer for at most 25 ms and a quarter of its goal, and gives its token back if it did not run. Requests that wait together share a report. A coordinator that is silent for 1 s is left and avoided for 2 s; one that stops or loses the store ends its delegations and says so. Metrics by organisation (96 series and `other`), lines on the state page, log lines when an organisation is limited, when keys change and when the coordinator changes. Encoded fields of reports and grants have short names.

--- a/crates/cornelwinch_relay/src/answer.rs
+++ b/crates/cornelwinch_relay/src/answer.rs
@@ -78,6 +78,14 @@
         reply
     }
 
+    /// Creates the reply to a request that exceeds the cap of its organisation. It did not run and
+    /// never will; the caller may retry after the time.
+    pub(crate) fn over_cap(time: Duration) -> Self {
+        let mut reply = Self::not_run_for("over_cap", time);
+        *reply.response.status_mut() = StatusCode::TOO_MANY_REQUESTS;
+        reply
+    }
+
     /// Creates the reply to a request that may have run.
     pub(crate) fn unknown(reason: &'static str) -> Self {
         Self::error(StatusCode::BAD_GATEWAY, Outcome::Unknown, reason)
--- a/crates/cornelwinch_relay/src/apply.rs
+++ b/crates/cornelwinch_relay/src/apply.rs
@@ -54,6 +54,8 @@
     );
     core.set_organisations(&state);
     core.table = Some(Rc::new(RouteTable::new(state)));
+    drop(core);
+    shared.update_caps();
 }
 
 fn apply_upstream(shared: &Shared, item: StoreObject, keep_missing: Option<Duration>) {
@@ -129,4 +131,5 @@
         .set_hosts(HostPermits::new(this_host, hosts.clone(), count));
     drop(core);
     *shared.hosts.borrow_mut() = hosts;
+    shared.update_caps();
 }
--- /dev/null
+++ b/crates/cornelwinch_relay/src/coordination_message.rs
@@ -0,0 +1,26 @@
+use bytes::Bytes;
+use cornelwinch_routing::{CapGrant, CapReport};
+use cornelwinch_types::Name;
+use serde::{Deserialize, Serialize};
+
+/// A message between a host and the coordinator.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum CoordinationMessage {
+    /// The first message of the coordinator: whether it takes this role.
+    Accept { is_coordinator: bool },
+    /// The first message of a host.
+    Join { host: Name },
+    /// Report on the caps of organisations.
+    CapReport(CapReport),
+    /// Answer to a [`CapReport`](Self::CapReport).
+    CapGrant(CapGrant),
+}
+
+impl CoordinationMessage {
+    /// Encodes the message as CBOR.
+    pub(crate) fn encode(&self) -> Bytes {
+        let mut buf = Vec::new();
+        ciborium::into_writer(self, &mut buf).expect("writing to a vector does not fail");
+        buf.into()
+    }
+}
--- a/crates/cornelwinch_relay/src/core.rs
+++ b/crates/cornelwinch_relay/src/core.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 
 use crate::Bounds;
+use crate::caps::Caps;
 use crate::gather_limits::GatherLimits;
 use crate::keys::random_index_key;
 use crate::line_limit::LineLimit;
@@ -37,6 +38,7 @@
     /// Organisations of the version in `table`; `None` if callers have no keys.
     pub(crate) organisations: Option<Rc<OrganisationTable>>,
     pub(crate) index_key: IndexKey,
+    pub(crate) caps: Caps,
     pub(crate) fleet: Fleet,
     pub(crate) budget: RetryBudget,
     pub(crate) crash_tracker: CrashTracker,
@@ -60,6 +62,7 @@
             table: None,
             organisations: None,
             index_key: random_index_key(),
+            caps: Caps::new(Instant::now()),
             fleet,
             budget: RetryBudget::new(Instant::now()),
             crash_tracker: CrashTracker::default(),
--- a/crates/cornelwinch_relay/src/feed.rs
+++ b/crates/cornelwinch_relay/src/feed.rs
@@ -11,6 +11,7 @@
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::{WebSocketStream, accept_hdr_async_with_config};
 
+use crate::coordination::{COORDINATION_PATH, serve_coordination};
 use crate::dialect::ObjectKind;
 use crate::feed_message::{FED_KINDS, FeedMessage, encode};
 use crate::shared::Shared;
@@ -75,6 +76,7 @@
     };
     match path.as_str() {
         FEED_PATH => feed_host(shared, socket).await,
+        COORDINATION_PATH => serve_coordination(shared, socket).await,
         REPORT_PATH => receive_reports(shared, socket).await,
         _ => format!("no_path_{path}"),
     }
--- a/crates/cornelwinch_relay/src/handle.rs
+++ b/crates/cornelwinch_relay/src/handle.rs
@@ -109,15 +109,26 @@
         ),
         _ => Ok(Sender::NoKeys),
     };
+    let organisation = match &sender {
+        Ok(Sender::Organisation(organisation)) => Some(organisation.name.clone()),
+        _ => None,
+    };
     let reply = match (&table, &route, sender) {
         (Some(_), Some(Ok(_)), Err(reason)) => Reply::rejected(StatusCode::UNAUTHORIZED, reason),
         (Some(_), Some(Ok(route)), Ok(_)) if stops_before_goal(&shared, route, start) => {
             Reply::not_run("stopping")
         }
-        (Some(table), Some(Ok(route)), Ok(sender)) => tokio::select! {
-            biased;
-            reply = answer(&shared, table, route.clone(), sender, request, start) => reply,
-            () = shared.stop_due() => Reply::timed_out("stopping"),
+        (Some(table), Some(Ok(route)), Ok(sender)) => match shared.admit(&sender, route).await {
+            Ok(admission) => {
+                let reply = tokio::select! {
+                    biased;
+                    reply = answer(&shared, table, route.clone(), sender, request, start) => reply,
+                    () = shared.stop_due() => Reply::timed_out("stopping"),
+                };
+                shared.end_admission(admission, reply.outcome);
+                reply
+            }
+            Err(wait) => Reply::over_cap(wait),
         },
         (_, Some(Err(reason)), _) => Reply::rejected(StatusCode::NOT_FOUND, reason),
         _ => Reply::not_run("no_configuration"),
@@ -139,6 +150,14 @@
     );
     let mut core = shared.core.borrow_mut();
     core.metrics.record(route, elapsed, reply.outcome);
+    if let Some(organisation) = organisation {
+        let outcome = match reply.reason {
+            "-" => reply.outcome.as_str(),
+            reason => reason,
+        };
+        core.metrics
+            .record_organisation(&organisation, elapsed, outcome);
+    }
     drop(core);
     let mut response = reply.response;
     // The balancer sends the caller's next connection to another host.
--- a/crates/cornelwinch_relay/src/metrics.rs
+++ b/crates/cornelwinch_relay/src/metrics.rs
@@ -31,12 +31,44 @@
             outcomes: SortedMap::new(),
         }
     }
+
+    fn record(&mut self, latency: Duration, outcome: &'static str) {
+        let micros = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
+        self.latency_us.saturating_record(micros);
+        *self.outcomes.get_or_insert_with(outcome, || 0) += 1;
+    }
+
+    fn push_lines(&self, text: &mut String, prefix: &str, label: &str, name: &str) {
+        for (outcome, count) in self.outcomes.iter() {
+            push_line(
+                text,
+                format_args!(
+                    "cornelwinch_{prefix}requests_total{{{label}={name:?},outcome=\"{outcome}\"}} {count}"
+                ),
+            );
+        }
+        for quantile in [0.5, 0.9, 0.99, 0.999] {
+            let ms = self.latency_us.value_at_quantile(quantile) as f64 / 1_000.0;
+            push_line(
+                text,
+                format_args!(
+                    "cornelwinch_{prefix}latency_ms{{{label}={name:?},quantile=\"{quantile}\"}} {ms}"
+                ),
+            );
+        }
+    }
 }
 
+/// Number of organisations with a series of their own. Further ones share the series `other`. A
+/// series takes about 25 KB.
+const ORGANISATION_LIMIT: usize = 96;
+
 /// Counters and histograms of a relay.
 #[derive(Debug, Default)]
 pub(crate) struct Metrics {
     routes: SortedMap<Name, RouteSeries>,
+    /// By organisation, with the reason for outcomes other than `served`.
+    organisations: SortedMap<Name, RouteSeries>,
     pub(crate) legs: u64,
     pub(crate) repeats: u64,
     pub(crate) repeats_denied: u64,
@@ -45,23 +77,27 @@
     pub(crate) store_failures: u64,
     /// Bytes sent to the hosts that this one feeds.
     pub(crate) feed_bytes: u64,
+    /// Bytes sent to the coordinator, and as coordinator to other hosts.
+    pub(crate) coordination_bytes: u64,
 }
 
 impl Metrics {
     /// Records the latency and outcome of a request.
     pub(crate) fn record(&mut self, route: &str, latency: Duration, outcome: Outcome) {
-        let is_known = self.routes.contains_key(route);
-        let name = if is_known || self.routes.len() < ROUTE_LIMIT {
-            route
-        } else {
-            "other"
-        };
-        let series = self
-            .routes
-            .get_or_insert_with(name.into(), RouteSeries::new);
-        let micros = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
-        series.latency_us.saturating_record(micros);
-        *series.outcomes.get_or_insert_with(outcome.as_str(), || 0) += 1;
+        let series = series_of(&mut self.routes, ROUTE_LIMIT, route);
+        series.record(latency, outcome.as_str());
+    }
+
+    /// Records the latency and outcome of a request of an organisation; `outcome` is the reason of
+    /// a request that was not served.
+    pub(crate) fn record_organisation(
+        &mut self,
+        organisation: &str,
+        latency: Duration,
+        outcome: &'static str,
+    ) {
+        let series = series_of(&mut self.organisations, ORGANISATION_LIMIT, organisation);
+        series.record(latency, outcome);
     }
 
     /// Formats all metrics as text, one value per line.
@@ -75,33 +111,35 @@
             ("store_calls_total", self.store_calls),
             ("store_failures_total", self.store_failures),
             ("feed_bytes_total", self.feed_bytes),
+            ("coordination_bytes_total", self.coordination_bytes),
         ];
         for (name, value) in counters {
             push_line(&mut text, format_args!("cornelwinch_{name} {value}"));
         }
         for (route, series) in self.routes.iter() {
-            for (outcome, count) in series.outcomes.iter() {
-                push_line(
-                    &mut text,
-                    format_args!(
-                        "cornelwinch_requests_total{{route=\"{route}\",outcome=\"{outcome}\"}} {count}"
-                    ),
-                );
-            }
-            for quantile in [0.5, 0.9, 0.99, 0.999] {
-                let ms = series.latency_us.value_at_quantile(quantile) as f64 / 1_000.0;
-                push_line(
-                    &mut text,
-                    format_args!(
-                        "cornelwinch_latency_ms{{route=\"{route}\",quantile=\"{quantile}\"}} {ms}"
-                    ),
-                );
-            }
+            series.push_lines(&mut text, "", "route", route);
+        }
+        for (organisation, series) in self.organisations.iter() {
+            series.push_lines(&mut text, "organisation_", "organisation", organisation);
         }
         text
     }
 }
 
+fn series_of<'a>(
+    all: &'a mut SortedMap<Name, RouteSeries>,
+    limit: usize,
+    name: &str,
+) -> &'a mut RouteSeries {
+    let is_known = all.contains_key(name);
+    let name = if is_known || all.len() < limit {
+        name
+    } else {
+        "other"
+    };
+    all.get_or_insert_with(name.into(), RouteSeries::new)
+}
+
 fn push_line(text: &mut String, line: std::fmt::Arguments<'_>) {
     writeln!(text, "{line}").expect("writing to a string does not fail");
 }
--- a/crates/cornelwinch_relay/src/operator.rs
+++ b/crates/cornelwinch_relay/src/operator.rs
@@ -68,6 +68,7 @@
 fn state_page(shared: &Shared) -> String {
     let now = Instant::now();
     let config = shared.budget_config();
+    let organisations = shared.core.borrow_mut().describe_organisations(now);
     let core = shared.core.borrow();
     let version = core.table.as_ref().map_or(0, |table| table.version());
     let mut lines = vec![format!(
@@ -103,6 +104,11 @@
             upstream.cold_per_s,
         )
     }));
+    if !organisations.is_empty() {
+        let coordinator = shared.coordination.coordinator.borrow();
+        lines.push(format!("coordinator={coordinator:?}"));
+    }
+    lines.extend(organisations);
     lines.extend(core.gather_limits.describe());
     lines.extend(core.fleet.describe(now));
     lines.push(String::new());
--- a/crates/cornelwinch_relay/src/relay.rs
+++ b/crates/cornelwinch_relay/src/relay.rs
@@ -11,6 +11,8 @@
 use tokio::time::{interval, sleep};
 
 use crate::callers::serve_callers;
+use crate::caps::prune_caps;
+use crate::coordination::coordinate;
 use crate::dialect::Dialect;
 use crate::error::{BindSnafu, ProcessSnafu, RelayError};
 use crate::feed::serve_feed;
@@ -79,6 +81,7 @@
     tokio::task::spawn_local(clean_up(shared.clone()));
     tokio::task::spawn_local(report_crashes(shared.clone()));
     tokio::task::spawn_local(probe_lost(shared.clone()));
+    tokio::task::spawn_local(coordinate(shared.clone()));
     Ok(Relay {
         shared,
         close_idle: Rc::new(close_idle),
@@ -129,6 +132,8 @@
         if current.bounds != settings.bounds {
             log::info!("event=bounds_changed bounds={:?}", settings.bounds);
             current.bounds = settings.bounds;
+            drop(current);
+            self.shared.update_caps();
         }
     }
 }
@@ -173,6 +178,7 @@
             shared.pool.close(id);
         }
         shared.pool.prune();
+        prune_caps(&shared);
     }
 }
 
--- a/crates/cornelwinch_relay/src/shared.rs
+++ b/crates/cornelwinch_relay/src/shared.rs
@@ -10,6 +10,7 @@
 use tokio::sync::{broadcast, watch};
 
 use crate::answer_memory::AnswerMemory;
+use crate::coordination::Coordination;
 use crate::core::Core;
 use crate::feed_message::{FeedMessage, encode};
 use crate::mirror::Mirror;
@@ -45,6 +46,7 @@
     pub(crate) store_health: StoreHealth,
     /// Sends encoded messages to the hosts that this one feeds.
     pub(crate) feed: broadcast::Sender<Bytes>,
+    pub(crate) coordination: Coordination,
     is_source: Cell<bool>,
     /// Time of the last valid heartbeat from the source that feeds this host.
     last_feed: Cell<Option<Instant>>,
@@ -67,6 +69,7 @@
             hosts: RefCell::default(),
             store_health: StoreHealth::default(),
             feed: broadcast::channel(FEED_QUEUE_MESSAGES).0,
+            coordination: Coordination::default(),
             is_source: Cell::new(false),
             last_feed: Cell::new(None),
             last_leg_token: Cell::new(0),
--- a/crates/cornelwinch_routing/src/cap.rs
+++ b/crates/cornelwinch_routing/src/cap.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use cornelwinch_types::Name;
+use cornelwinch_types::{Name, SortedMap};
 use serde::{Deserialize, Serialize};
 
 use crate::Cap;
@@ -61,18 +61,24 @@
     }
 }
 
-/// What a host tells the coordinator.
+/// What a host tells the coordinator. The encoded names of the fields are short, since a busy host
+/// sends a report for most requests.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct CapReport {
     /// Number of the report on this connection.
+    #[serde(rename = "n")]
     pub sequence: u64,
     /// Stamp of the last grant; `None` if the host keeps its refill.
+    #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
     pub delegation: Option<u64>,
     /// Number of hosts among which this host divides limits.
+    #[serde(rename = "h")]
     pub hosts: u32,
     /// Requests that were admitted since the last report, by organisation.
+    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
     pub spent: Vec<(Name, u32)>,
     /// Tokens that the host wants, by organisation.
+    #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
     pub wanted: Vec<(Name, u32)>,
 }
 
@@ -80,13 +86,31 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct CapGrant {
     /// Number of the report that it answers.
+    #[serde(rename = "n")]
     pub answered: u64,
     /// Time of the coordinator, which the host's next report repeats.
+    #[serde(rename = "s")]
     pub stamp: u64,
     /// True if the coordinator has ended all delegations and accepts no more.
+    #[serde(rename = "l", default)]
     pub is_last: bool,
     /// Tokens by organisation.
+    #[serde(rename = "t", default, skip_serializing_if = "Vec::is_empty")]
     pub tokens: Vec<(Name, u32)>,
     /// Time in milliseconds after which to ask again, by organisation.
+    #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
     pub wait_ms: Vec<(Name, u32)>,
 }
+
+/// Removes the entries of organisations that are not in the sorted list.
+pub(crate) fn retain_names<T>(entries: &mut SortedMap<Name, T>, caps: &[(&Name, &Cap)]) {
+    let is_listed = |name: &Name| {
+        caps.binary_search_by(|(other, _)| (*other).cmp(name))
+            .is_ok()
+    };
+    let names = entries.keys().filter(|name| !is_listed(name));
+    let removed: Vec<Name> = names.cloned().collect();
+    for name in removed {
+        entries.remove(&name);
+    }
+}
--- a/crates/cornelwinch_routing/src/cap_pool.rs
+++ b/crates/cornelwinch_routing/src/cap_pool.rs
@@ -2,7 +2,7 @@
 
 use cornelwinch_types::{Name, SortedMap};
 
-use crate::cap::{DELEGATION_TIME, MAX_TOKENS_PER_GRANT};
+use crate::cap::{DELEGATION_TIME, MAX_TOKENS_PER_GRANT, retain_names};
 use crate::{Cap, CapGrant, CapReport, CapRule};
 
 /// Longest time after which a host is told to ask again. Hosts learn of a higher cap or rate within
@@ -64,7 +64,7 @@
         }
     }
 
-    /// Sets the caps that are in force. Tokens above a lowered cap are discarded.
+    /// Sets the caps that are in force, sorted by name. Tokens above a lowered cap are discarded.
     pub fn set_caps<'a>(
         &mut self,
         now: Instant,
@@ -72,9 +72,10 @@
         caps: impl Iterator<Item = (&'a Name, &'a Cap)>,
     ) {
         self.advance(now);
-        let mut old = std::mem::take(&mut self.buckets);
+        let caps: Vec<(&Name, &Cap)> = caps.collect();
+        retain_names(&mut self.buckets, &caps);
         for (name, cap) in caps {
-            let mut bucket = old.remove(name).unwrap_or(Bucket {
+            let bucket = self.buckets.get_or_insert_with(name.clone(), || Bucket {
                 cap: *cap,
                 size: 0.0,
                 tokens: 0.0,
@@ -85,7 +86,6 @@
             bucket.cap = *cap;
             bucket.size = rule.pooled(cap);
             bucket.fill(self.refill_time, self.weight);
-            self.buckets.insert(name.clone(), bucket);
         }
     }
 
@@ -145,7 +145,13 @@
         self.set_weight(0.0);
     }
 
-    /// Returns true if the pool accepts no delegations any more.
+    /// Accepts delegations again. The caller makes sure that no report is on its way that was sent
+    /// before the pool was closed.
+    pub fn reopen(&mut self) {
+        self.is_closed = false;
+    }
+
+    /// Returns true if the pool accepts no delegations.
     pub fn is_closed(&self) -> bool {
         self.is_closed
     }
--- a/crates/cornelwinch_routing/src/cap_stock.rs
+++ b/crates/cornelwinch_routing/src/cap_stock.rs
@@ -3,12 +3,12 @@
 
 use cornelwinch_types::{Name, SortedMap};
 
-use crate::cap::{CLOCK_DRIFT_FACTOR, DELEGATION_TIME, TOKEN_TIME};
+use crate::cap::{CLOCK_DRIFT_FACTOR, DELEGATION_TIME, TOKEN_TIME, retain_names};
 use crate::{Cap, CapGrant, CapReport, CapRule};
 
 /// Time after the start of a process during which it does not refill and delegates nothing. A
-/// delegation of its predecessor ends within it, and the other hosts learn of a new one.
-const START_TIME: Duration = Duration::from_secs(5);
+/// delegation of its predecessor, of 1.5 s, ends within it. It still gets tokens of the coordinator.
+const START_TIME: Duration = Duration::from_secs(2);
 
 /// Time constant of the demand that is estimated for an organisation.
 const DEMAND_TIME: Duration = Duration::from_millis(500);
@@ -104,8 +104,8 @@
         }
     }
 
-    /// Sets the caps in force and the number of hosts among which they are divided. Tokens above a
-    /// lower limit are discarded.
+    /// Sets the caps in force, sorted by name, and the number of hosts among which they are divided.
+    /// Tokens above a lower limit are discarded.
     pub fn set_caps<'a>(
         &mut self,
         now: Instant,
@@ -116,9 +116,10 @@
         self.advance(now);
         self.rule = rule;
         self.hosts = hosts.max(1);
-        let mut old = std::mem::take(&mut self.entries);
+        let caps: Vec<(&Name, &Cap)> = caps.collect();
+        retain_names(&mut self.entries, &caps);
         for (name, cap) in caps {
-            let mut entry = old.remove(name).unwrap_or_else(|| Entry {
+            let entry = self.entries.get_or_insert_with(name.clone(), || Entry {
                 cap: *cap,
                 stock: 0.0,
                 limit: 0.0,
@@ -133,7 +134,6 @@
             });
             entry.fill(self.refill_time, self.hosts);
             entry.cap = *cap;
-            self.entries.insert(name.clone(), entry);
         }
         self.limit_stocks(self.own_from > now);
     }
--- a/crates/cornelwinch_routing/tests/cap_bound.rs
+++ b/crates/cornelwinch_routing/tests/cap_bound.rs
@@ -60,6 +60,15 @@
     requests: u64,
     refused: u64,
     letters: u64,
+    host_bytes: u64,
+    coordinator_bytes: u64,
+}
+
+/// Returns the size of a message with its frame and the name of its type.
+fn size(message: &impl serde::Serialize) -> u64 {
+    let mut buf = Vec::new();
+    ciborium::into_writer(message, &mut buf).unwrap();
+    buf.len() as u64 + 20
 }
 
 impl Plant {
@@ -146,7 +155,11 @@
         };
         let this = &mut self.hosts[host];
         this.last_report = self.now;
-        let letter = Letter::Report(this.stock.report(now));
+        let report = this.stock.report(now);
+        if host != 0 {
+            self.counts.host_bytes += size(&report);
+        }
+        let letter = Letter::Report(report);
         self.counts.letters += 1;
         self.letters
             .push_back((self.now + delay, host, connection, letter));
@@ -174,6 +187,9 @@
                     let count = self.hosts.len();
                     let name: Name = format!("h{host}").into();
                     let grant = self.hosts[to].pool.answer(now, &name, count, &report);
+                    if host != 0 {
+                        self.counts.coordinator_bytes += size(&grant);
+                    }
                     let at = self.now + 0.0005 + self.rng.f64() * 0.001;
                     self.letters
                         .push_back((at, host, connection, Letter::Grant(grant)));
@@ -311,7 +327,7 @@
 /// organisation above it does not get.
 #[test]
 fn uneven_callers_get_the_cap() {
-    for (count, load) in [(33, 0.95), (33, 6.0), (81, 0.95), (81, 6.0)] {
+    for (count, load) in [(33, 0.95), (33, 6.0), (300, 0.95), (300, 6.0)] {
         let cap = Cap {
             rate_per_s: 60.0,
             burst: 30.0,
@@ -346,13 +362,17 @@
             requests,
             refused,
             letters,
+            host_bytes,
+            coordinator_bytes,
         } = plant.counts;
         let refused = refused as f64 / requests as f64;
         let rate = plant.ran.len() as f64 / 30.0 / cap.rate_per_s;
         let (peak, allowed) = (plant.peak() as f64, RULE.allowed(&cap));
         println!(
-            "hosts={count} load={load} refused={refused:.4} rate={rate:.3} peak={peak} allowed={allowed} reports_per_s={:.1}",
-            letters as f64 / 30.0
+            "hosts={count} load={load} refused={refused:.4} rate={rate:.3} peak={peak} allowed={allowed} reports_per_s={:.1} bytes_per_s: host={:.0} coordinator={:.0}",
+            letters as f64 / 30.0,
+            host_bytes as f64 / 30.0 / (count - 1) as f64,
+            coordinator_bytes as f64 / 30.0,
         );
         assert!(peak <= allowed);
         assert!(if load < 1.0 {
@@ -362,3 +382,31 @@
         });
     }
 }
+
+/// Guards against a token that is lost although its request did not run, and against one that
+/// returns after the time that the bound allows for.
+#[test]
+fn token_of_a_refused_request_returns() {
+    let start = Instant::now();
+    let name: Name = "depot".into();
+    let cap = Cap {
+        rate_per_s: 1.0,
+        burst: 0.0,
+    };
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut stock = CapStock::new(start, RULE);
+    stock.set_caps(start, RULE, 1, [(&name, &cap)].into_iter());
+    let mut admit = |ms, delay| match stock.try_admit(at(ms), &name) {
+        CapDecision::Admitted(token) => {
+            stock.give_back(at(ms + delay), &name, token);
+            true
+        }
+        _ => false,
+    };
+    // The refill starts 2 s after the process.
+    assert_eq!(
+        [2_500, 3_100, 3_200].map(|ms| admit(ms, 50)),
+        [false, true, true]
+    );
+    assert_eq!([3_300, 3_700].map(|ms| admit(ms, 300)), [true, false]);
+}
