--- a/crates/cornelwinch_relay/src/apply.rs
+++ b/crates/cornelwinch_relay/src/apply.rs
@@ -57,6 +57,8 @@
     );
     core.set_organisations(&state);
     core.table = Some(Rc::new(RouteTable::new(state)));
+    drop(core);
+    shared.update_caps();
 }
 
 fn apply_upstream(shared: &Shared, item: StoreObject, keep_missing: Option<Duration>) {
@@ -158,4 +160,6 @@
     let this_host = shared.settings.borrow().host.clone();
     let permits = HostPermits::new(this_host, named, core.host_count());
     core.fleet.set_hosts(permits);
+    drop(core);
+    shared.update_caps();
 }
--- a/crates/cornelwinch_relay/src/shared.rs
+++ b/crates/cornelwinch_relay/src/shared.rs
@@ -10,6 +10,7 @@
 use tokio::sync::{broadcast, watch};
 
 use crate::answer_memory::{AnswerMemory, AnswersInWriting};
+use crate::coordination::Coordination;
 use crate::core::Core;
 use crate::feed_message::{FeedMessage, encode};
 use crate::mirror::Mirror;
@@ -58,6 +59,7 @@
     pub(crate) has_marks: Cell<bool>,
     /// Number of checks in progress whether an upstream crashed.
     pub(crate) crash_checks: Cell<usize>,
+    pub(crate) coordination: Coordination,
     is_source: Cell<bool>,
     /// Time of the last valid heartbeat from the source that feeds this host.
     last_feed: Cell<Option<Instant>>,
@@ -85,6 +87,7 @@
             started: Instant::now(),
             has_marks: Cell::new(false),
             crash_checks: Cell::new(0),
+            coordination: Coordination::default(),
             is_source: Cell::new(false),
             last_feed: Cell::new(None),
             last_leg_token: Cell::new(0),
--- a/crates/cornelwinch_routing/src/lib.rs
+++ b/crates/cornelwinch_routing/src/lib.rs
@@ -4,6 +4,9 @@
 
 mod absent_hosts;
 mod budget;
+mod cap;
+mod cap_pool;
+mod cap_stock;
 mod change;
 mod cold;
 mod crashes;
@@ -26,6 +29,9 @@
 
 pub use absent_hosts::AbsentHosts;
 pub use budget::{RepeatKind, RetryBudget, RetryBudgetConfig, RetryBudgetUsage};
+pub use cap::{CapGrant, CapReport, CapRule};
+pub use cap_pool::CapPool;
+pub use cap_stock::{CapDecision, CapStock, CapToken};
 pub use change::DesiredStateDelta;
 pub use cold::ColdRateLimiter;
 pub use crashes::{CrashReport, CrashTracker, RequestFingerprint};
