routing, relay, platform: place legs by their expected time

Cause: Fleet::pick weighs recent slowness and the number of legs in flight, in multiples of one typical time per route. It doesn't tell a lasting speed of an upstream from the mix of requests that it got, nor the latency of a zone from either.

Change: the time of a leg is modelled as the latency of the zone plus the cost of the route times the upstream's slowness. Costs, latencies, noise and the persistence of delays are pooled over all upstreams; the speed of an upstream is shrunk to the average until it has been observed, and forgotten with a time constant of 120 s. Legs are placed by the expected time with the remaining work of this host's legs. Legs while this host's thread was late itself, refused and failed ones teach nothing about costs.

With even upstreams and one cost, both modes make the same choices.

--- a/crates/cornelwinch_relay/src/fetch.rs
+++ b/crates/cornelwinch_relay/src/fetch.rs
@@ -161,7 +161,10 @@
                 return false;
             }
         }
-        let Some(upstream) = self.shared.pick_upstream(&self.plan.service, &self.tried) else {
+        let picked =
+            self.shared
+                .pick_upstream(&self.plan.route.name, &self.plan.service, &self.tried);
+        let Some(upstream) = picked else {
             return false;
         };
         let repeat = if self.legs.is_empty() {
@@ -192,9 +195,10 @@
         self.legs_arrived += 1;
         let median_leg_time = self.shared.core.borrow().median_leg_time(&self.plan.route);
         let (shared, out) = (self.shared.clone(), self.out.clone());
+        let route = self.plan.route.clone();
         self.legs.push(Box::pin(async move {
             let sent_at = Instant::now();
-            let outcome = run_leg(shared, out, upstream.clone(), median_leg_time).await;
+            let outcome = run_leg(shared, out, route, upstream.clone(), median_leg_time).await;
             (upstream, sent_at, outcome)
         }));
         true
--- a/crates/cornelwinch_relay/src/leg.rs
+++ b/crates/cornelwinch_relay/src/leg.rs
@@ -1,8 +1,9 @@
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use cornelwinch_routing::{Fleet, HealthSignal, UpstreamEndpoint};
+use cornelwinch_routing::{Fleet, HealthSignal, Route, UpstreamEndpoint};
 use cornelwinch_types::Fingerprint;
 use http_body_util::Full;
 use hyper::header::{self, HeaderValue};
@@ -12,10 +13,15 @@
 use crate::body::{MAX_FRAMING_BYTES, TooLarge, read_body};
 use crate::headers::{is_closing, keep_alive_timeout, millis, millis_value, retry_after};
 use crate::shared::Shared;
+use crate::thread_lag::LegLag;
 
 /// Multiple of the median leg time from which a cancelled leg counts as timed out by its upstream.
 const TIMED_OUT_LATENCY_RATIO: f64 = 3.0;
 
+/// Share of a leg's time from which a lag of this host's thread makes the time useless for learning
+/// what the leg costs.
+const MAX_LAG_RATIO: f64 = 0.5;
+
 /// Reason of a leg whose upstream sent more than an answer may have.
 const OVERSIZED: &str = "oversized";
 
@@ -118,15 +124,25 @@
     token: u64,
     sent_at: Instant,
     median_leg_time: Duration,
+    lag: LegLag,
     reported: bool,
 }
 
 impl LegGuard {
     fn report(&mut self, signal: HealthSignal) {
         self.reported = true;
+        let now = Instant::now();
+        let lag = self.shared.thread_lag.end_leg(now, &self.lag);
         let mut core = self.shared.core.borrow_mut();
+        if lag
+            > now
+                .saturating_duration_since(self.sent_at)
+                .mul_f64(MAX_LAG_RATIO)
+        {
+            core.fleet.mark_untimely(self.upstream.id, self.token);
+        }
         core.fleet
-            .leg_ended(Instant::now(), self.upstream.id, self.token, signal);
+            .leg_ended(now, self.upstream.id, self.token, signal);
     }
 
     fn latency_ratio(&self) -> f64 {
@@ -152,25 +168,29 @@
 pub(crate) async fn run_leg(
     shared: Rc<Shared>,
     out: Rc<OutgoingRequest>,
+    route: Arc<Route>,
     upstream: UpstreamEndpoint,
     median_leg_time: Duration,
 ) -> LegOutcome {
     let token = shared.next_leg_token();
     let now = Instant::now();
-    shared
-        .core
-        .borrow_mut()
-        .fleet
-        .leg_sent(now, upstream.id, token, median_leg_time);
+    shared.core.borrow_mut().fleet.leg_of_route_sent(
+        now,
+        upstream.id,
+        token,
+        median_leg_time,
+        &route.name,
+    );
     let mut guard = LegGuard {
         shared: shared.clone(),
         upstream: upstream.clone(),
         token,
         sent_at: now,
         median_leg_time,
+        lag: shared.thread_lag.start_leg(),
         reported: false,
     };
-    let (outcome, signal) = exchange(&shared, &out, &upstream).await;
+    let (outcome, signal) = exchange(&shared, &out, &upstream, token).await;
     let signal = match signal {
         Some(signal) => signal,
         None => HealthSignal::Answered {
@@ -194,6 +214,7 @@
     shared: &Shared,
     out: &OutgoingRequest,
     upstream: &UpstreamEndpoint,
+    token: u64,
 ) -> (LegOutcome, Option<HealthSignal>) {
     let connection = match shared.pool.acquire(upstream, out.fresh_connection).await {
         Ok(connection) => connection,
@@ -209,6 +230,10 @@
         }
     };
     let is_new = connection.is_new;
+    if is_new {
+        let fleet = &mut shared.core.borrow_mut().fleet;
+        fleet.leg_connected(Instant::now(), upstream.id, token);
+    }
     let mut http = connection.http;
     // The upstream may have left, or its zone may have been evacuated, while connecting.
     if !shared
--- a/crates/cornelwinch_relay/src/lib.rs
+++ b/crates/cornelwinch_relay/src/lib.rs
@@ -38,7 +38,9 @@
 mod store_health;
 mod subscribe;
 mod sync;
+mod thread_lag;
 
+pub use cornelwinch_routing::PlacementMode;
 pub use dialect::{
     Dialect, HeaderNames, ObjectKind, ObjectPage, ObjectProblem, ObjectValue, StoreApi,
     StoreObject, WriteRequest,
@@ -46,4 +48,4 @@
 pub use error::RelayError;
 pub use logging::{LogHandle, open_log};
 pub use relay::{Relay, run_until_signal, spawn};
-pub use settings::{Bounds, CapBounds, LogLevel, PlacementMode, RelaySettings, RolloutBounds};
+pub use settings::{Bounds, CapBounds, LogLevel, RelaySettings, RolloutBounds};
--- a/crates/cornelwinch_relay/src/relay.rs
+++ b/crates/cornelwinch_relay/src/relay.rs
@@ -2,6 +2,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use cornelwinch_routing::PlacementMode;
 use snafu::ResultExt;
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::TcpListener;
@@ -20,6 +21,7 @@
 use crate::settings::RelaySettings;
 use crate::shared::Shared;
 use crate::sync::keep_in_sync;
+use crate::thread_lag::measure_lag;
 
 /// Length of the queue of connections that wait to be accepted.
 const LISTEN_BACKLOG: i32 = 1_024;
@@ -69,6 +71,7 @@
     let readiness = listen(settings.readiness)?;
     let metrics = listen(settings.metrics)?;
     let peers = listen(settings.peer)?;
+    let placement = settings.placement;
     let shared = Rc::new(Shared::new(settings, dialect));
     let (close_idle, closing) = watch::channel(false);
     tokio::task::spawn_local(keep_in_sync(shared.clone()));
@@ -79,6 +82,9 @@
     tokio::task::spawn_local(clean_up(shared.clone()));
     tokio::task::spawn_local(report_crashes(shared.clone()));
     tokio::task::spawn_local(probe_lost(shared.clone()));
+    if placement != PlacementMode::Latency {
+        tokio::task::spawn_local(measure_lag(shared.clone()));
+    }
     Ok(Relay {
         shared,
         close_idle: Rc::new(close_idle),
--- a/crates/cornelwinch_relay/src/settings.rs
+++ b/crates/cornelwinch_relay/src/settings.rs
@@ -2,6 +2,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use cornelwinch_routing::PlacementMode;
 use cornelwinch_types::Name;
 use serde::Deserialize;
 use snafu::ResultExt;
@@ -131,20 +132,6 @@
     pub rollback_ms: u64,
 }
 
-/// How the upstream of a leg is chosen.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum PlacementMode {
-    /// By recent slowness and the number of legs in flight.
-    #[default]
-    Latency,
-    /// By the expected time to the answer.
-    ExpectedWork,
-    /// By the expected time to the answer for services whose learned speeds or costs are uneven,
-    /// and as [`Latency`](Self::Latency) for the others.
-    Learned,
-}
-
 /// Lowest level of logged events.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
 #[serde(rename_all = "lowercase")]
--- a/crates/cornelwinch_relay/src/shared.rs
+++ b/crates/cornelwinch_relay/src/shared.rs
@@ -3,8 +3,8 @@
 
 use bytes::Bytes;
 use cornelwinch_routing::{
-    CrashReport, HostEntry, RepeatKind, RetryBudgetConfig, UpstreamEndpoint, UpstreamId,
-    UpstreamLimits,
+    CrashReport, HostEntry, LegRequest, RepeatKind, RetryBudgetConfig, UpstreamEndpoint,
+    UpstreamId, UpstreamLimits,
 };
 use cornelwinch_types::Name;
 use tokio::sync::{broadcast, watch};
@@ -15,6 +15,7 @@
 use crate::mirror::Mirror;
 use crate::pool::Pool;
 use crate::store_health::StoreHealth;
+use crate::thread_lag::ThreadLag;
 use crate::{Dialect, RelaySettings};
 
 /// Number of messages by which a subscriber may lag before its connection is closed.
@@ -28,6 +29,7 @@
 pub(crate) struct Shared {
     pub(crate) core: RefCell<Core>,
     pub(crate) pool: Pool,
+    pub(crate) thread_lag: ThreadLag,
     pub(crate) answer_memory: AnswerMemory,
     pub(crate) dialect: Dialect,
     pub(crate) settings: RefCell<RelaySettings>,
@@ -53,10 +55,13 @@
 
 impl Shared {
     pub(crate) fn new(settings: RelaySettings, dialect: Dialect) -> Self {
-        let core = Core::new(settings.host.clone());
+        let mut core = Core::new(settings.host.clone());
+        core.fleet
+            .set_placement(settings.placement, settings.zone.clone());
         Self {
             core: RefCell::new(core),
             pool: Pool::default(),
+            thread_lag: ThreadLag::default(),
             answer_memory: AnswerMemory::new(settings.answer_memory()),
             dialect,
             settings: RefCell::new(settings),
@@ -210,6 +215,7 @@
     /// Selects an upstream of a service for the next leg, except those in `tried`.
     pub(crate) fn pick_upstream(
         &self,
+        route: &Name,
         service: &Name,
         tried: &[UpstreamId],
     ) -> Option<UpstreamEndpoint> {
@@ -223,13 +229,13 @@
                 cold_per_s: None,
             },
         };
-        core.fleet.pick(
-            Instant::now(),
+        let request = LegRequest {
             service,
-            &settings.zone,
+            zone: &settings.zone,
+            route: Some(route),
             tried,
-            limits,
-            &mut core.rng,
-        )
+        };
+        core.fleet
+            .pick_for(Instant::now(), request, limits, &mut core.rng)
     }
 }
--- a/crates/cornelwinch_routing/src/fleet.rs
+++ b/crates/cornelwinch_routing/src/fleet.rs
@@ -1,12 +1,17 @@
+mod describe;
+mod expected;
+
 use std::time::{Duration, Instant};
 
 use cornelwinch_types::{Name, SortedMap};
 
 use crate::health::latency_ratio;
+use crate::placement::{Placement, normal};
 use crate::withdrawal::Withdrawal;
+use crate::work::{LegQuery, UpstreamWork};
 use crate::{
-    ColdRateLimiter, HealthSignal, HostPermits, UpstreamEndpoint, UpstreamEntry, UpstreamHealth,
-    UpstreamId, UpstreamLimits, UpstreamState,
+    ColdRateLimiter, HealthSignal, HostPermits, LegRequest, UpstreamEndpoint, UpstreamEntry,
+    UpstreamHealth, UpstreamId, UpstreamLimits, UpstreamState,
 };
 
 /// Score penalty of an upstream in another zone, in typical leg times. It stands for
@@ -31,6 +36,7 @@
 struct Upstream {
     entry: UpstreamEntry,
     health: UpstreamHealth,
+    work: UpstreamWork,
     cold_until: Option<Instant>,
     cold_rate: ColdRateLimiter,
     /// Last limit shared by all hosts, and this host's permits of it.
@@ -64,6 +70,7 @@
     removed_runs: SortedMap<(Name, u64), RemovedRun>,
     /// Division of limits among hosts; `None` if this host is the only one.
     hosts: Option<HostPermits>,
+    placement: Placement,
 }
 
 impl Fleet {
@@ -134,6 +141,7 @@
             Upstream {
                 entry,
                 health: UpstreamHealth::new(now),
+                work: UpstreamWork::new(now),
                 cold_until,
                 cold_rate: ColdRateLimiter::default(),
                 permits: None,
@@ -219,6 +227,7 @@
             let forget_at = *run.forget_at.get_or_insert(now + REMOVED_RUN_TTL);
             now < forget_at
         });
+        self.check_evenness(now);
         let expired: Vec<Name> = self
             .upstreams
             .values()
@@ -242,7 +251,28 @@
         limits: UpstreamLimits,
         rng: &mut fastrand::Rng,
     ) -> Option<UpstreamEndpoint> {
-        let ids = self.services.get(service)?;
+        let request = LegRequest {
+            service,
+            zone,
+            route: None,
+            tried,
+        };
+        self.pick_for(now, request, limits, rng)
+    }
+
+    /// Chooses the upstream for a leg, like [`pick`](Self::pick). The mode of placement decides
+    /// whether by latency or by the expected time of a leg of this route.
+    pub fn pick_for(
+        &mut self,
+        now: Instant,
+        request: LegRequest<'_>,
+        limits: UpstreamLimits,
+        rng: &mut fastrand::Rng,
+    ) -> Option<UpstreamEndpoint> {
+        let LegRequest { zone, tried, .. } = request;
+        let ids = self.services.get(request.service)?;
+        let placement = &self.placement;
+        let route = placement.expected_route(request.service, request.route);
         let mut best: Option<(bool, f64, UpstreamId)> = None;
         for id in ids {
             if tried.contains(id) {
@@ -265,10 +295,19 @@
                     continue;
                 }
             }
-            let mut score = upstream.health.score(now) * (1.0 + SCORE_JITTER * rng.f64());
-            if upstream.entry.zone != *zone {
-                score += OTHER_ZONE_PENALTY;
-            }
+            let score = match route {
+                Some(route) => {
+                    let query = LegQuery {
+                        now,
+                        model: &placement.model,
+                        route,
+                        other_zone: placement.other_zone(&upstream.entry.zone),
+                        slots: upstream.entry.slots,
+                    };
+                    upstream.work.expected_time(query, normal(rng))
+                }
+                None => upstream.latency_score(now, zone, rng),
+            };
             let candidate = (upstream.health.is_lost(), score, *id);
             if best.is_none_or(|b| (candidate.0, candidate.1) < (b.0, b.1)) {
                 best = Some(candidate);
@@ -394,6 +433,10 @@
                 _ => {}
             }
             upstream.health.leg_ended(now, token, signal);
+            let other_zone = self.placement.other_zone(&upstream.entry.zone);
+            let model = &mut self.placement.model;
+            let work = &mut upstream.work;
+            work.leg_ended(now, token, signal, other_zone, model);
         }
     }
 
@@ -408,30 +451,6 @@
     pub fn latency_ratio(time: Duration, typical: Duration) -> f64 {
         latency_ratio(time, typical)
     }
-
-    /// Returns one line per upstream with its name, service, zone, state and health.
-    pub fn describe(&self, now: Instant) -> Vec<String> {
-        let line = |u: &Upstream| {
-            format!(
-                "upstream={} service={} zone={} state={:?} score={:.2} in_flight={} lost={} cold={} leaving={} rest_ms={} faulty={}",
-                u.entry.name,
-                u.entry.service,
-                u.entry.zone,
-                u.entry.state,
-                u.health.score(now),
-                u.health.in_flight(),
-                u.health.is_lost(),
-                u.is_cold(now),
-                u.withdrawal.is_leaving,
-                u.withdrawal
-                    .rest
-                    .end(now)
-                    .map_or(0, |end| (end - now).as_millis()),
-                u.withdrawal.faults.is_held(now),
-            )
-        };
-        self.upstreams.values().map(line).collect()
-    }
 }
 
 fn cold_until(now: Instant, left: Duration) -> Option<Instant> {
@@ -439,6 +458,16 @@
 }
 
 impl Upstream {
+    /// Returns the score by which legs are placed if not by expected time.
+    fn latency_score(&self, now: Instant, zone: &Name, rng: &mut fastrand::Rng) -> f64 {
+        let score = self.health.score(now) * (1.0 + SCORE_JITTER * rng.f64());
+        if self.entry.zone == *zone {
+            score
+        } else {
+            score + OTHER_ZONE_PENALTY
+        }
+    }
+
     fn takes_requests(&self, now: Instant, evacuated: &[Name]) -> bool {
         self.entry.state == UpstreamState::Ready
             && !self.is_displaced
