routing: learn zone latency apart from speeds, weigh queues more, replay with six seeds

Cause: the replay showed three faults. Speeds of upstreams in another zone took up a part of its latency. Long pauses hid that the delay of a queue persists, so that 9 hosts at half of the capacity queued at the fast upstreams (mean longer by 7 in 100). A host whose zone has no upstream never corrected a cost. The p99 of one seed of `tenfold` differed by a third between versions of the same rules.

Change: the latency of a zone is learned at the average speed, and speeds of its upstreams only once the latency is known. A delay counts up to the cost of the leg. Remaining work of this host's legs counts in full, and the speed is drawn with 0.8 of its standard error. After 50 legs to other zones in a row these teach the cost. The replay gives random speeds to the upstreams of the single service, plays six seeds and has a scenario with 9 busy hosts.

The p99 of light loads is set by the time of the hedge, which this does not change.

--- a/crates/cornelwinch_routing/src/cost_model.rs
+++ b/crates/cornelwinch_routing/src/cost_model.rs
@@ -31,6 +31,10 @@
 /// Samples after which residuals are limited and the cost counts as known.
 const FIRST_SAMPLES: f64 = 5.0;
 
+/// Successive legs to other zones from which they teach the cost: upstreams of the zone of this host
+/// are absent.
+const MAX_REMOTE_LEGS: u32 = 50;
+
 /// Samples from which the cost of a route may show that costs are uneven.
 const KNOWN_SAMPLES: f64 = 30.0;
 
@@ -45,6 +49,9 @@
 /// Smallest latency of a zone that is told apart from the variation of the work, in seconds.
 const MIN_ZONE_LATENCY_S: f64 = 0.000_5;
 
+/// Samples from which the latency of a zone is known well enough to learn speeds from legs to it.
+const KNOWN_ZONE_SAMPLES: f64 = 8.0;
+
 /// Smallest weight of a new sample in the latency of a zone.
 const MIN_ZONE_WEIGHT: f64 = 0.01;
 
@@ -63,7 +70,11 @@
 struct RouteCost {
     name: Name,
     ln_cost: f64,
+    /// Cost in seconds.
+    cost: f64,
     samples: f64,
+    /// Legs to other zones since the last one to the zone of this host.
+    remote_legs: u32,
     /// Moving average of the limited residuals.
     drift: f64,
     used: Instant,
@@ -133,10 +144,13 @@
             self.routes[index].used = now;
             return Some(index);
         }
+        let typical = typical.max(0.000_1);
         let route = RouteCost {
             name: name.clone(),
-            ln_cost: typical.max(0.000_1).ln(),
+            ln_cost: typical.ln(),
+            cost: typical,
             samples: 0.0,
+            remote_legs: 0,
             drift: 0.0,
             used: now,
         };
@@ -153,7 +167,7 @@
 
     /// Returns the cost of a route in seconds.
     pub fn cost(&self, route: usize) -> f64 {
-        self.routes[route].ln_cost.exp()
+        self.routes[route].cost
     }
 
     /// Returns the additional time of a leg of this cost to another zone, in seconds.
@@ -198,11 +212,18 @@
         self.samples += 1;
         let cost = self.cost(sample.route);
         let slowness = sample.ln_speed.exp();
-        let is_known = self.routes[sample.route].samples >= FIRST_SAMPLES;
+        let route = &mut self.routes[sample.route];
+        route.remote_legs = match sample.other_zone {
+            Some(_) => route.remote_legs.saturating_add(1),
+            None => 0,
+        };
+        let is_known = route.samples >= FIRST_SAMPLES;
+        // Legs to other zones show the latency of the zone if the cost is known from legs to the
+        // zone of this host, and otherwise the cost.
+        let shows_cost =
+            !is_known || sample.other_zone.is_none() || route.remote_legs > MAX_REMOTE_LEGS;
         let latency = match sample.other_zone {
-            // Legs to other zones show their latency only once the cost is known, and before that
-            // they show the cost.
-            Some(zone) if is_known => self.learn_zone(zone, sample.seconds, cost * slowness),
+            Some(zone) if !shows_cost => self.learn_zone(zone, sample.seconds, cost),
             Some(zone) => self.zone_latency(zone, cost),
             None => 0.0,
         };
@@ -211,11 +232,12 @@
         let residual = (work / (cost * slowness)).max(1e-6).ln();
         let limited = residual.clamp(-MAX_RESIDUAL, MAX_RESIDUAL);
         let route = &mut self.routes[sample.route];
-        if sample.other_zone.is_none() || !is_known {
+        if shows_cost {
             route.samples += 1.0;
             route.drift += DRIFT_WEIGHT * (limited - route.drift);
             if !is_known {
                 route.ln_cost += residual / route.samples;
+                route.cost = route.ln_cost.exp();
                 return None;
             }
             let weight = if route.drift.abs() > DRIFT_THRESHOLD {
@@ -224,15 +246,24 @@
                 (1.0 / route.samples).max(MIN_COST_WEIGHT)
             };
             route.ln_cost += weight * limited;
+            route.cost = route.ln_cost.exp();
         }
-        if route.drift.abs() > DRIFT_THRESHOLD {
+        let is_drifting = route.drift.abs() > DRIFT_THRESHOLD;
+        if is_drifting || (!shows_cost && !self.knows_zone(sample.other_zone)) {
             return None;
         }
         self.noise = (self.noise + NOISE_WEIGHT * (limited * limited - self.noise)).max(MIN_NOISE);
         Some(limited)
     }
 
-    /// Learns the latency of a zone from a leg of a known cost, and returns the latency.
+    fn knows_zone(&self, name: Option<&Name>) -> bool {
+        let mut zones = self.zones.iter();
+        zones.any(|zone| Some(&zone.name) == name && zone.samples >= KNOWN_ZONE_SAMPLES)
+    }
+
+    /// Learns the latency of a zone from a leg of a known cost, and returns the latency. The upstream
+    /// is taken to have the average speed: its learned speed would absorb a part of the latency, and
+    /// speeds average out over the upstreams of the zone.
     fn learn_zone(&mut self, name: &Name, seconds: f64, work: f64) -> f64 {
         let known = self.zones.iter().position(|zone| zone.name == *name);
         let index = match known {
@@ -288,7 +319,7 @@
             format!(
                 "route_cost={} ms={:.2} samples={:.0} drift={:.2}",
                 route.name,
-                route.ln_cost.exp() * 1_000.0,
+                route.cost * 1_000.0,
                 route.samples,
                 route.drift,
             )
--- a/crates/cornelwinch_routing/src/work.rs
+++ b/crates/cornelwinch_routing/src/work.rs
@@ -35,8 +35,10 @@
 /// Weight of a new sample in the moving average of delays and penalties.
 const DELAY_WEIGHT: f64 = 0.3;
 
-/// Largest sample of a delay in costs. A pause delays one answer without slowing the next ones.
-const MAX_DELAY_RATIO: f64 = 3.0;
+/// Largest sample of a delay in costs. A pause delays one answer without slowing the next ones; with
+/// a limit of 3, pauses hid how far the delays of a queue persist, and 9 hosts at half of the
+/// capacity queued at the fast upstreams.
+const MAX_DELAY_RATIO: f64 = 1.0;
 
 /// Penalties in costs of a leg that the upstream refused, and of one that failed.
 const REFUSED_PENALTY: f64 = 3.0;
@@ -47,12 +49,12 @@
 const OVERDUE_WEIGHT: f64 = 2.0;
 
 /// Standard errors of the speeds by which choices are spread.
-const EXPLORATION: f64 = 0.5;
+const EXPLORATION: f64 = 0.8;
 
 /// Share of the remaining work of this host's legs by which a new leg is delayed even if they take
-/// few of the slots: other hosts tend to choose the same upstream at the same time. Without it, 30
-/// hosts at two thirds of the capacity had a p99 that was longer by 5 in 100 in the replay.
-const CONTENTION: f64 = 0.5;
+/// few of the slots: other hosts tend to choose the same upstream at the same time. With a share of
+/// 0.5 or less, 81 hosts at half of the capacity had a longer mean time than by latency.
+const CONTENTION: f64 = 1.0;
 
 /// Number of slots that is assumed of an upstream that states none.
 const DEFAULT_SLOTS: u32 = 2;
@@ -66,6 +68,9 @@
 
 impl Decaying {
     fn get(&self, now: Instant) -> f64 {
+        if self.value == 0.0 {
+            return 0.0;
+        }
         let age = now.saturating_duration_since(self.at).as_secs_f64();
         self.value * (-age / DELAY_DECAY.as_secs_f64()).exp()
     }
--- a/crates/cornelwinch_routing/tests/placement_replay.rs
+++ b/crates/cornelwinch_routing/tests/placement_replay.rs
@@ -4,7 +4,7 @@
 
 use cornelwinch_routing::PlacementMode;
 
-use self::replay::{Load, PEEK, SWEEP, Scenario, Tally, play};
+use self::replay::{Load, PEEK, SWEEP, Scenario, play};
 
 const BOOKING: Load = Load {
     name: "booking",
@@ -14,149 +14,80 @@
 };
 const UNEVEN: [f64; 3] = [0.8, 1.0, 1.3];
 
-/// Plays a scenario in the modes `latency` and `learned`, and prints both.
-fn compare(scenario: &Scenario) -> [Tally; 2] {
-    let modes = [PlacementMode::Latency, PlacementMode::Learned];
-    modes.map(|mode| {
-        let tally = play(mode, scenario);
-        println!(
-            "{:<22} {:<8} mean={:6.1} p99={:6.1} value={:.4} refused={:<4} wasted={:.4}",
-            scenario.name,
-            format!("{mode:?}"),
-            tally.mean(),
-            tally.p99(),
-            tally.mean_value(),
-            tally.refused,
-            tally.wasted(),
-        );
-        tally
+/// Seeds of each scenario. With one, the p99 of `tenfold` differs by a third between versions of the
+/// same rules, since upstreams are close to their capacity.
+const SEEDS: u64 = 6;
+
+/// Mean time and p99 in ms, value and share of wasted work of a mode.
+type Figures = [f64; 4];
+
+/// Plays a scenario in the modes `latency` and `learned`.
+fn compare(scenario: &Scenario) -> [Figures; 2] {
+    [PlacementMode::Latency, PlacementMode::Learned].map(|mode| {
+        let mut sums = [0.0; 4];
+        for seed in 1..=SEEDS {
+            let tally = play(
+                mode,
+                &Scenario {
+                    seed,
+                    ..scenario.clone()
+                },
+            );
+            let figures = [
+                tally.mean(),
+                tally.p99(),
+                tally.mean_value(),
+                tally.wasted(),
+            ];
+            for (sum, figure) in sums.iter_mut().zip(figures) {
+                *sum += figure / SEEDS as f64;
+            }
+        }
+        sums
     })
 }
 
 fn scenarios() -> Vec<Scenario> {
-    let busy = [SWEEP, PEEK].map(|load| Load {
-        rate: load.rate * 12.0,
-        ..load
-    });
-    let uneven = Scenario {
-        speeds: UNEVEN,
-        ..Scenario::default()
+    let with_rate = |load: Load, rate| Load { rate, ..load };
+    let vary = |name, change: &dyn Fn(&mut Scenario)| {
+        let mut scenario = Scenario {
+            name,
+            speeds: UNEVEN,
+            ..Scenario::default()
+        };
+        change(&mut scenario);
+        scenario
     };
-    let scenario = |name, scenario: Scenario| Scenario { name, ..scenario };
-    let booking = Scenario {
-        loads: vec![BOOKING],
-        shards: 1,
-        replicas: 9,
-        seconds: 160,
-        ..uneven.clone()
+    let single = |s: &mut Scenario, rate, seconds| {
+        s.loads = vec![with_rate(BOOKING, rate)];
+        (s.shards, s.replicas, s.seconds) = (1, 9, seconds);
+    };
+    let busy = |s: &mut Scenario, hosts| {
+        s.loads = vec![with_rate(SWEEP, 950.0), with_rate(PEEK, 317.0)];
+        (s.hosts, s.seconds) = (hosts, 10);
     };
     vec![
-        scenario("uneven", uneven.clone()),
-        scenario(
-            "noise",
-            Scenario {
-                noise: 0.15,
-                ..uneven.clone()
-            },
-        ),
-        scenario(
-            "no_pauses",
-            Scenario {
-                has_pauses: false,
-                noise: 0.15,
-                ..uneven.clone()
-            },
-        ),
-        scenario(
-            "one_zone",
-            Scenario {
-                hop: 0.5,
-                noise: 0.15,
-                ..uneven.clone()
-            },
-        ),
-        scenario("single", booking.clone()),
-        scenario(
-            "single_busy",
-            Scenario {
-                loads: vec![Load {
-                    rate: 300.0,
-                    ..BOOKING
-                }],
-                seconds: 40,
-                ..booking.clone()
-            },
-        ),
-        scenario(
-            "long_and_short",
-            Scenario {
-                loads: vec![
-                    Load {
-                        rate: 60.0,
-                        ..BOOKING
-                    },
-                    Load {
-                        rate: 240.0,
-                        ..PEEK
-                    },
-                ],
-                hop: 0.5,
-                ..uneven.clone()
-            },
-        ),
-        scenario(
-            "minority_slow",
-            Scenario {
-                gets_slow: 0.15,
-                ..uneven.clone()
-            },
-        ),
-        scenario(
-            "30_hosts",
-            Scenario {
-                hosts: 30,
-                loads: busy.to_vec(),
-                seconds: 10,
-                ..uneven.clone()
-            },
-        ),
-        scenario(
-            "300_hosts",
-            Scenario {
-                hosts: 300,
-                loads: busy.to_vec(),
-                seconds: 10,
-                ..uneven.clone()
-            },
-        ),
-        scenario(
-            "refusals",
-            Scenario {
-                refuses: 0.3,
-                ..uneven.clone()
-            },
-        ),
-        scenario(
-            "restart",
-            Scenario {
-                restarts: true,
-                ..uneven.clone()
-            },
-        ),
-        scenario(
-            "tenfold",
-            Scenario {
-                change: 10.0,
-                ..uneven.clone()
-            },
-        ),
-        scenario(
-            "tenth",
-            Scenario {
-                change: 0.1,
-                ..uneven
-            },
-        ),
+        vary("uneven", &|_| {}),
+        vary("noise", &|s| s.noise = 0.15),
+        vary("no_pauses", &|s| (s.has_pauses, s.noise) = (false, 0.15)),
+        vary("one_zone", &|s| (s.hop, s.noise) = (0.5, 0.15)),
+        vary("single", &|s| single(s, 26.4, 160)),
+        vary("single_busy", &|s| single(s, 300.0, 40)),
+        vary("single_busy_9", &|s| {
+            single(s, 300.0, 40);
+            s.hosts = 9;
+        }),
+        vary("long_and_short", &|s| {
+            s.loads = vec![with_rate(BOOKING, 60.0), with_rate(PEEK, 240.0)];
+            s.hop = 0.5;
+        }),
+        vary("minority_slow", &|s| s.gets_slow = 0.15),
+        vary("30_hosts", &|s| busy(s, 30)),
+        vary("300_hosts", &|s| busy(s, 300)),
+        vary("refusals", &|s| s.refuses = 0.3),
+        vary("restart", &|s| s.restarts = true),
+        vary("tenfold", &|s| s.change = 10.0),
+        vary("tenth", &|s| s.change = 0.1),
     ]
 }
 
@@ -164,15 +95,26 @@
 /// learned is wrong.
 #[test]
 fn expected_work_is_not_worse() {
-    let results: Vec<_> = scenarios().iter().map(|s| (s.name, compare(s))).collect();
-    for (name, [old, new]) in results {
-        assert!(new.mean() <= old.mean() * 1.05, "mean of {name}");
-        assert!(new.p99() <= old.p99() * 1.05, "p99 of {name}");
-        assert!(
-            new.mean_value() >= old.mean_value() * 0.95,
-            "value of {name}"
-        );
-        assert!(new.wasted() <= old.wasted() + 0.05, "wasted work of {name}");
+    let scenarios = scenarios();
+    let results = std::thread::scope(|scope| {
+        let start = |scenario| scope.spawn(move || compare(scenario));
+        let runs: Vec<_> = scenarios.iter().map(start).collect();
+        let results = runs.into_iter().map(|run| run.join().unwrap());
+        results.collect::<Vec<_>>()
+    });
+    println!(
+        "{:16} {:>42} {:>42}",
+        "scenario", "latency: mean p99 value wasted", "learned: mean p99 value wasted"
+    );
+    for (scenario, [old, new]) in scenarios.iter().zip(&results) {
+        println!("{:16} {old:10.4?} {new:10.4?}", scenario.name);
+    }
+    for (scenario, [old, new]) in scenarios.iter().zip(&results) {
+        let name = scenario.name;
+        assert!(new[0] <= old[0] * 1.05, "mean of {name}");
+        assert!(new[1] <= old[1] * 1.05, "p99 of {name}");
+        assert!(new[2] >= old[2] * 0.95, "value of {name}");
+        assert!(new[3] <= old[3] + 0.05, "wasted work of {name}");
     }
 }
 
@@ -184,6 +126,6 @@
         noise: 0.15,
         ..Scenario::default()
     };
-    let [old, new] = compare(&even);
-    assert_eq!(old, new);
+    let old = play(PlacementMode::Latency, &even);
+    assert_eq!(old, play(PlacementMode::Learned, &even));
 }
--- a/crates/cornelwinch_routing/tests/replay/mod.rs
+++ b/crates/cornelwinch_routing/tests/replay/mod.rs
@@ -209,9 +209,10 @@
         let mut rng = fastrand::Rng::with_seed(scenario.seed);
         let (mut entries, mut servers) = (Vec::new(), Vec::new());
         for shard in 0..scenario.shards {
-            let mut speeds = scenario.speeds;
+            let speeds = scenario.speeds.iter().cycle().take(scenario.replicas);
+            let mut speeds: Vec<f64> = speeds.copied().collect();
             rng.shuffle(&mut speeds);
-            for replica in 0..scenario.replicas {
+            for (replica, speed) in speeds.into_iter().enumerate() {
                 entries.push(UpstreamEntry {
                     name: format!("s{shard:02}-{replica}").into(),
                     born_ms: 1,
@@ -224,7 +225,7 @@
                     slots: SLOTS as u32,
                 });
                 servers.push(Server {
-                    speed: speeds[replica % 3],
+                    speed,
                     gets_slow: rng.f64() < scenario.gets_slow,
                     phase: rng.u64(..PAUSE_PERIOD_US),
                     ..Server::default()
