relay, routing, cli: explain where a request would go

Cause: operators could see scores on the state page, but not which route, service and upstream a given request would get, and why others are left out.

Change: the page `/explain` and `cornelwinch relay explain` take a host, path, method, organisation and size, and answer in text or JSON with the route, its services and the scores of their upstreams. Fleet::explain uses the exclusions and scores of Fleet::pick_for without the random part; it sends nothing and takes nothing from a limit. The check of uneven speeds compares only the extremes of a service, since the pairs of thousands of upstreams would be too many.

--- a/crates/cornelwinch_cli/src/args.rs
+++ b/crates/cornelwinch_cli/src/args.rs
@@ -27,7 +27,7 @@
     /// Shows the state of hosts
     #[bpaf(command)]
     Status(#[bpaf(external(status_args))] StatusArgs),
-    /// Shows the state or the metrics of relays
+    /// Shows the state or the metrics of relays, or where they would send a request
     #[bpaf(command)]
     Relay(#[bpaf(external(relay_args))] RelayArgs),
     /// Sends a query to a host
@@ -128,10 +128,34 @@
     /// Shows only lines that contain the text; may be repeated
     #[bpaf(argument("TEXT"))]
     pub(crate) find: Vec<String>,
-    #[bpaf(positional("state|metrics"))]
+    #[bpaf(external)]
+    pub(crate) explain_args: ExplainArgs,
+    #[bpaf(positional("state|metrics|explain"))]
     pub(crate) page: RelayPage,
 }
 
+/// Request that `explain` is asked for.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct ExplainArgs {
+    /// Host header of the request to explain
+    #[bpaf(long("request-host"), argument("HOST"))]
+    pub(crate) request_host: Option<String>,
+    /// Path of the request to explain
+    #[bpaf(argument("PATH"))]
+    pub(crate) path: Option<String>,
+    /// Method of the request to explain
+    #[bpaf(argument("METHOD"))]
+    pub(crate) method: Option<String>,
+    /// Organisation of the caller
+    #[bpaf(argument("NAME"))]
+    pub(crate) organisation: Option<String>,
+    /// Size of the body in bytes
+    #[bpaf(argument("BYTES"))]
+    pub(crate) size: Option<usize>,
+    /// Prints JSON
+    pub(crate) json: bool,
+}
+
 #[derive(Debug, Clone, Bpaf)]
 pub(crate) struct QueryArgs {
     /// Address of a host's listener for callers
@@ -249,6 +273,7 @@
 pub(crate) enum RelayPage {
     State,
     Metrics,
+    Explain,
 }
 
 impl FromStr for RelayPage {
@@ -258,7 +283,8 @@
         match s {
             "state" => Ok(Self::State),
             "metrics" => Ok(Self::Metrics),
-            _ => Err("expected state or metrics"),
+            "explain" => Ok(Self::Explain),
+            _ => Err("expected state, metrics or explain"),
         }
     }
 }
--- a/crates/cornelwinch_cli/tests/command_texts.rs
+++ b/crates/cornelwinch_cli/tests/command_texts.rs
@@ -139,6 +139,19 @@
       upstream=i-1 lost=false
       upstream=i-2 lost=true
     "#);
+    let request = [
+        "--request-host",
+        "a.example",
+        "--path",
+        "/x?y=1&z",
+        "explain",
+    ];
+    let (code, out, _) = run(&[&["relay", "--relay", &address], &request[..]].concat());
+    assert_eq!(code, 0);
+    assert!(
+        out.contains("path=/explain?host=a.example&path=/x%3Fy%3D1%26z"),
+        "{out}"
+    );
     let find = ["--find", "upstream=", "--find", "lost=true"];
     let args = [
         &["relay", "--relay", &gone, "--relay", &address],
--- a/crates/cornelwinch_relay/src/core.rs
+++ b/crates/cornelwinch_relay/src/core.rs
@@ -23,6 +23,9 @@
 /// for a while.
 const CONNECTION_LIMIT_RATIO: f64 = 0.9;
 
+/// Connection limit of an upstream whose service is not in the desired state.
+const DEFAULT_UPSTREAM_CONNECTIONS: usize = 4;
+
 /// Relative step by which each sample moves the estimated median leg time up or down.
 const LEG_TIME_STEP_RATIO: f64 = 0.03;
 
@@ -87,6 +90,18 @@
         }
     }
 
+    /// Returns the limits of the upstreams of a service, which may not be in the desired state.
+    pub(crate) fn limits_of(&self, service: &Name, bounds: &Bounds) -> UpstreamLimits {
+        let table = self.table.as_ref();
+        match table.and_then(|table| table.service(service)) {
+            Some(service) => self.upstream_limits(service, bounds),
+            None => UpstreamLimits {
+                connections: DEFAULT_UPSTREAM_CONNECTIONS,
+                cold_per_s: None,
+            },
+        }
+    }
+
     /// Returns true if the route has upstreams that take requests and are not lost. A gather needs
     /// them for enough shards.
     pub(crate) fn can_serve(&self, now: Instant, route: &Route) -> bool {
--- a/crates/cornelwinch_relay/src/lib.rs
+++ b/crates/cornelwinch_relay/src/lib.rs
@@ -12,6 +12,7 @@
 mod core;
 mod dialect;
 mod error;
+mod explain;
 mod feed;
 mod feed_message;
 mod fetch;
--- a/crates/cornelwinch_relay/src/operator.rs
+++ b/crates/cornelwinch_relay/src/operator.rs
@@ -12,6 +12,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
+use crate::explain::explain;
 use crate::shared::Shared;
 
 type Handler = fn(&Shared, &Request<Incoming>) -> Response<Full<Bytes>>;
@@ -50,15 +51,16 @@
     response
 }
 
-/// Answers with the state of the host for `/state` and with metrics for any other path.
+/// Answers with the state of the host for `/state`, with the placement of a request for `/explain`
+/// and with metrics for any other path.
 pub(crate) fn answer_metrics(
     shared: &Shared,
     request: &Request<Incoming>,
 ) -> Response<Full<Bytes>> {
-    let text = if request.uri().path() == "/state" {
-        state_page(shared)
-    } else {
-        shared.core.borrow().metrics.to_text()
+    let text = match request.uri().path() {
+        "/state" => state_page(shared),
+        "/explain" => explain(shared, request.uri().query().unwrap_or_default()),
+        _ => shared.core.borrow().metrics.to_text(),
     };
     Response::new(Full::new(Bytes::from(text)))
 }
--- a/crates/cornelwinch_relay/src/shared.rs
+++ b/crates/cornelwinch_relay/src/shared.rs
@@ -3,8 +3,7 @@
 
 use bytes::Bytes;
 use cornelwinch_routing::{
-    CrashReport, HostEntry, LegRequest, RepeatKind, RetryBudgetConfig, UpstreamEndpoint,
-    UpstreamId, UpstreamLimits,
+    CrashReport, HostEntry, LegRequest, RepeatKind, RetryBudgetConfig, UpstreamEndpoint, UpstreamId,
 };
 use cornelwinch_types::Name;
 use tokio::sync::{broadcast, watch};
@@ -21,9 +20,6 @@
 /// Number of messages by which a subscriber may lag before its connection is closed.
 const FEED_QUEUE_MESSAGES: usize = 256;
 
-/// Connection limit of an upstream whose service is not in the desired state.
-const DEFAULT_UPSTREAM_CONNECTIONS: usize = 4;
-
 /// State shared by the tasks of a relay, which all run on one thread.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -221,14 +217,7 @@
     ) -> Option<UpstreamEndpoint> {
         let settings = self.settings.borrow();
         let core = &mut *self.core.borrow_mut();
-        let table = core.table.as_ref();
-        let limits = match table.and_then(|table| table.service(service)) {
-            Some(service) => core.upstream_limits(service, &settings.bounds),
-            None => UpstreamLimits {
-                connections: DEFAULT_UPSTREAM_CONNECTIONS,
-                cold_per_s: None,
-            },
-        };
+        let limits = core.limits_of(service, &settings.bounds);
         let request = LegRequest {
             service,
             zone: &settings.zone,
--- a/crates/cornelwinch_routing/src/fleet.rs
+++ b/crates/cornelwinch_routing/src/fleet.rs
@@ -1,5 +1,8 @@
 mod describe;
 mod expected;
+mod explain;
+
+pub use explain::{Candidate, Explanation};
 
 use std::time::{Duration, Instant};
 
@@ -8,7 +11,7 @@
 use crate::health::latency_ratio;
 use crate::placement::{Placement, normal};
 use crate::withdrawal::Withdrawal;
-use crate::work::{LegQuery, UpstreamWork};
+use crate::work::UpstreamWork;
 use crate::{
     ColdRateLimiter, HealthSignal, HostPermits, LegRequest, UpstreamEndpoint, UpstreamEntry,
     UpstreamHealth, UpstreamId, UpstreamLimits, UpstreamState,
@@ -281,32 +284,17 @@
             let Some(upstream) = self.upstreams.get_mut(id) else {
                 continue;
             };
-            if !upstream.takes_requests(now, &self.evacuated) {
-                continue;
-            }
-            if upstream.health.in_flight() >= limits.connections {
+            let hosts = self.hosts.as_ref();
+            let exclusion = upstream.exclusion(now, &self.evacuated, hosts, limits);
+            if exclusion.is_some() {
                 continue;
             }
-            if let Some(cold_per_s) = limits.cold_per_s
-                && upstream.is_cold(now)
-            {
-                let limit = upstream.permits(self.hosts.as_ref(), cold_per_s);
-                if !upstream.cold_rate.has_capacity(now, limit) {
-                    continue;
-                }
-            }
             let score = match route {
                 Some(route) => {
-                    let query = LegQuery {
-                        now,
-                        model: &placement.model,
-                        route,
-                        other_zone: placement.other_zone(&upstream.entry.zone),
-                        slots: upstream.entry.slots,
-                    };
+                    let query = upstream.leg_query(now, placement, route);
                     upstream.work.expected_time(query, normal(rng))
                 }
-                None => upstream.latency_score(now, zone, rng),
+                None => upstream.latency_score(now, zone, rng.f64()),
             };
             let candidate = (upstream.health.is_lost(), score, *id);
             if best.is_none_or(|b| (candidate.0, candidate.1) < (b.0, b.1)) {
@@ -458,9 +446,10 @@
 }
 
 impl Upstream {
-    /// Returns the score by which legs are placed if not by expected time.
-    fn latency_score(&self, now: Instant, zone: &Name, rng: &mut fastrand::Rng) -> f64 {
-        let score = self.health.score(now) * (1.0 + SCORE_JITTER * rng.f64());
+    /// Returns the score by which legs are placed if not by expected time, with a random part from
+    /// 0 to 1.
+    fn latency_score(&self, now: Instant, zone: &Name, random: f64) -> f64 {
+        let score = self.health.score(now) * (1.0 + SCORE_JITTER * random);
         if self.entry.zone == *zone {
             score
         } else {
--- a/crates/cornelwinch_routing/src/fleet/expected.rs
+++ b/crates/cornelwinch_routing/src/fleet/expected.rs
@@ -4,7 +4,7 @@
 
 use cornelwinch_types::Name;
 
-use super::{Fleet, Upstream};
+use super::Fleet;
 use crate::placement::CHECK_INTERVAL;
 use crate::work::LegQuery;
 use crate::{PlacementMode, UpstreamId};
@@ -36,11 +36,12 @@
             return;
         };
         if let Some(upstream) = self.upstreams.get_mut(&id) {
+            let other_zone = placement.other_zone(&upstream.entry.zone);
             let query = LegQuery {
                 now,
                 model: &placement.model,
                 route,
-                other_zone: placement.other_zone(&upstream.entry.zone),
+                other_zone,
                 slots: upstream.entry.slots,
             };
             upstream.work.leg_sent(query, token);
@@ -87,15 +88,16 @@
                 let upstream = self.upstreams.get_mut(id);
                 routes | upstream.map_or(0, |u| u.work.take_routes())
             });
-            let upstreams: Vec<&Upstream> =
-                ids.iter().filter_map(|id| self.upstreams.get(id)).collect();
+            // Only the extremes are compared: a service may have thousands of upstreams.
+            let works = || {
+                let upstreams = ids.iter().filter_map(|id| self.upstreams.get(id));
+                upstreams.map(|u| (u.work.speed_range(now), &u.work))
+            };
+            let slowest = works().max_by(|(a, _), (b, _)| a.0.total_cmp(&b.0));
+            let fastest = works().min_by(|(a, _), (b, _)| a.1.total_cmp(&b.1));
             let has_uneven_speeds = || {
-                upstreams.iter().enumerate().any(|(n, one)| {
-                    let others = &upstreams[n + 1..];
-                    others
-                        .iter()
-                        .any(|other| one.work.is_uneven(&other.work, now, was_uneven))
-                })
+                let pair = slowest.zip(fastest);
+                pair.is_some_and(|((_, one), (_, other))| one.is_uneven(other, now, was_uneven))
             };
             if placement.model.has_uneven_costs(routes) || has_uneven_speeds() {
                 uneven.push(service.clone());
--- a/crates/cornelwinch_routing/src/lib.rs
+++ b/crates/cornelwinch_routing/src/lib.rs
@@ -29,7 +29,7 @@
 pub use cost_model::{CostModel, CostSample};
 pub use crashes::{CrashReport, CrashTracker, RequestFingerprint};
 pub use desired::{CallerLimits, DesiredState, GatherPlan, Route, RouteKind, Service, Target};
-pub use fleet::Fleet;
+pub use fleet::{Candidate, Explanation, Fleet};
 pub use health::{HealthSignal, UpstreamHealth};
 pub use organisation::{Cap, KeyDigest, Organisation};
 pub use overload::{GatherLimit, GatherOutcome};
--- a/crates/cornelwinch_routing/src/work.rs
+++ b/crates/cornelwinch_routing/src/work.rs
@@ -305,6 +305,13 @@
         routes
     }
 
+    /// Returns the lowest and highest logarithm of the slowness that its uncertainty leaves open.
+    pub fn speed_range(&self, now: Instant) -> (f64, f64) {
+        let (mean, variance) = self.speed(now);
+        let error = UNEVEN_ERRORS * (variance / 2.0).sqrt();
+        (mean - error, mean + error)
+    }
+
     /// Returns true if the speeds of the two upstreams differ beyond their uncertainty. Less
     /// certainty is required if they were uneven before.
     pub fn is_uneven(&self, other: &Self, now: Instant, was_uneven: bool) -> bool {
