--- a/crates/cornelwinch_relay/src/lib.rs
+++ b/crates/cornelwinch_relay/src/lib.rs
@@ -16,6 +16,7 @@
 mod crash_check;
 mod dialect;
 mod error;
+mod explain;
 mod feed;
 mod feed_message;
 mod fetch;
@@ -46,8 +47,10 @@
 mod store_health;
 mod subscribe;
 mod sync;
+mod thread_lag;
 mod verdict;
 
+pub use cornelwinch_routing::PlacementMode;
 pub use dialect::{
     Dialect, HeaderNames, ObjectKind, ObjectPage, ObjectProblem, ObjectValue, RegisteredHost,
     StoreApi, StoreObject, WriteRequest,
@@ -55,4 +58,4 @@
 pub use error::RelayError;
 pub use logging::{LogHandle, open_log};
 pub use relay::{Relay, run_until_signal, spawn};
-pub use settings::{Bounds, CapBounds, LogLevel, PlacementMode, RelaySettings, RolloutBounds};
+pub use settings::{Bounds, CapBounds, LogLevel, RelaySettings, RolloutBounds};
--- a/crates/cornelwinch_relay/src/shared.rs
+++ b/crates/cornelwinch_relay/src/shared.rs
@@ -3,8 +3,8 @@
 
 use bytes::Bytes;
 use cornelwinch_routing::{
-    CrashReport, HostEntry, RepeatKind, RetryBudgetConfig, SyncTiming, UpstreamEndpoint,
-    UpstreamId, UpstreamLimits,
+    CrashReport, HostEntry, LegRequest, RepeatKind, RetryBudgetConfig, SyncTiming,
+    UpstreamEndpoint, UpstreamId,
 };
 use cornelwinch_types::Name;
 use tokio::sync::{broadcast, watch};
@@ -16,6 +16,7 @@
 use crate::mirror::Mirror;
 use crate::pool::Pool;
 use crate::store_health::StoreHealth;
+use crate::thread_lag::ThreadLag;
 use crate::{Dialect, RelaySettings};
 
 /// Number of messages by which a subscriber may lag before its connection is closed.
@@ -25,14 +26,12 @@
 /// hosts. It gets them within milliseconds unless the first host that it asks is silent.
 const MARKS_WAIT: Duration = Duration::from_millis(250);
 
-/// Connection limit of an upstream whose service is not in the desired state.
-const DEFAULT_UPSTREAM_CONNECTIONS: usize = 4;
-
 /// State shared by the tasks of a relay, which all run on one thread.
 #[derive(Debug)]
 pub(crate) struct Shared {
     pub(crate) core: RefCell<Core>,
     pub(crate) pool: Pool,
+    pub(crate) thread_lag: ThreadLag,
     pub(crate) answer_memory: AnswerMemory,
     pub(crate) answers_in_writing: AnswersInWriting,
     pub(crate) dialect: Dialect,
@@ -68,10 +67,13 @@
 
 impl Shared {
     pub(crate) fn new(settings: RelaySettings, dialect: Dialect) -> Self {
-        let core = Core::new(settings.host.clone());
+        let mut core = Core::new(settings.host.clone());
+        core.fleet
+            .set_placement(settings.placement, settings.zone.clone());
         Self {
             core: RefCell::new(core),
             pool: Pool::default(),
+            thread_lag: ThreadLag::default(),
             answer_memory: AnswerMemory::new(settings.answer_memory()),
             answers_in_writing: AnswersInWriting::default(),
             dialect,
@@ -248,26 +250,20 @@
     /// Selects an upstream of a service for the next leg, except those in `tried`.
     pub(crate) fn pick_upstream(
         &self,
+        route: &Name,
         service: &Name,
         tried: &[UpstreamId],
     ) -> Option<UpstreamEndpoint> {
         let settings = self.settings.borrow();
         let core = &mut *self.core.borrow_mut();
-        let table = core.table.as_ref();
-        let limits = match table.and_then(|table| table.service(service)) {
-            Some(service) => core.upstream_limits(service, &settings.bounds),
-            None => UpstreamLimits {
-                connections: DEFAULT_UPSTREAM_CONNECTIONS,
-                cold_per_s: None,
-            },
-        };
-        core.fleet.pick(
-            Instant::now(),
+        let limits = core.limits_of(service, &settings.bounds);
+        let request = LegRequest {
             service,
-            &settings.zone,
+            zone: &settings.zone,
+            route: Some(route),
             tried,
-            limits,
-            &mut core.rng,
-        )
+        };
+        core.fleet
+            .pick_for(Instant::now(), request, limits, &mut core.rng)
     }
 }
--- a/crates/cornelwinch_routing/src/fleet.rs
+++ b/crates/cornelwinch_routing/src/fleet.rs
@@ -1,12 +1,20 @@
+mod describe;
+mod expected;
+mod explain;
+
+pub use explain::{Candidate, Explanation};
+
 use std::time::{Duration, Instant};
 
 use cornelwinch_types::{Name, SortedMap};
 
 use crate::health::latency_ratio;
+use crate::placement::{Placement, normal};
 use crate::withdrawal::Withdrawal;
+use crate::work::UpstreamWork;
 use crate::{
-    ColdRateLimiter, HealthSignal, HostPermits, UpstreamEndpoint, UpstreamEntry, UpstreamHealth,
-    UpstreamId, UpstreamLimits, UpstreamState,
+    ColdRateLimiter, HealthSignal, HostPermits, LegRequest, UpstreamEndpoint, UpstreamEntry,
+    UpstreamHealth, UpstreamId, UpstreamLimits, UpstreamState,
 };
 
 /// Score penalty of an upstream in another zone, in typical leg times. It stands for
@@ -31,6 +39,7 @@
 struct Upstream {
     entry: UpstreamEntry,
     health: UpstreamHealth,
+    work: UpstreamWork,
     cold_until: Option<Instant>,
     cold_rate: ColdRateLimiter,
     /// Last limit shared by all hosts, and this host's permits of it.
@@ -64,6 +73,7 @@
     removed_runs: SortedMap<(Name, u64), RemovedRun>,
     /// Division of limits among hosts; `None` if this host is the only one.
     hosts: Option<HostPermits>,
+    placement: Placement,
 }
 
 impl Fleet {
@@ -134,6 +144,7 @@
             Upstream {
                 entry,
                 health: UpstreamHealth::new(now),
+                work: UpstreamWork::new(now),
                 cold_until,
                 cold_rate: ColdRateLimiter::default(),
                 permits: None,
@@ -219,6 +230,7 @@
             let forget_at = *run.forget_at.get_or_insert(now + REMOVED_RUN_TTL);
             now < forget_at
         });
+        self.check_evenness(now);
         let expired: Vec<Name> = self
             .upstreams
             .values()
@@ -242,7 +254,28 @@
         limits: UpstreamLimits,
         rng: &mut fastrand::Rng,
     ) -> Option<UpstreamEndpoint> {
-        let ids = self.services.get(service)?;
+        let request = LegRequest {
+            service,
+            zone,
+            route: None,
+            tried,
+        };
+        self.pick_for(now, request, limits, rng)
+    }
+
+    /// Chooses the upstream for a leg, like [`pick`](Self::pick). The mode of placement decides
+    /// whether by latency or by the expected time of a leg of this route.
+    pub fn pick_for(
+        &mut self,
+        now: Instant,
+        request: LegRequest<'_>,
+        limits: UpstreamLimits,
+        rng: &mut fastrand::Rng,
+    ) -> Option<UpstreamEndpoint> {
+        let LegRequest { zone, tried, .. } = request;
+        let ids = self.services.get(request.service)?;
+        let placement = &self.placement;
+        let route = placement.expected_route(request.service, request.route);
         let mut best: Option<(bool, f64, UpstreamId)> = None;
         for id in ids {
             if tried.contains(id) {
@@ -251,24 +284,18 @@
             let Some(upstream) = self.upstreams.get_mut(id) else {
                 continue;
             };
-            if !upstream.takes_requests(now, &self.evacuated) {
+            let hosts = self.hosts.as_ref();
+            let exclusion = upstream.exclusion(now, &self.evacuated, hosts, limits);
+            if exclusion.is_some() {
                 continue;
             }
-            if upstream.health.in_flight() >= limits.connections {
-                continue;
-            }
-            if let Some(cold_per_s) = limits.cold_per_s
-                && upstream.is_cold(now)
-            {
-                let limit = upstream.permits(self.hosts.as_ref(), cold_per_s);
-                if !upstream.cold_rate.has_capacity(now, limit) {
-                    continue;
+            let score = match route {
+                Some(route) => {
+                    let query = upstream.leg_query(now, placement, route);
+                    upstream.work.expected_time(query, normal(rng))
                 }
-            }
-            let mut score = upstream.health.score(now) * (1.0 + SCORE_JITTER * rng.f64());
-            if upstream.entry.zone != *zone {
-                score += OTHER_ZONE_PENALTY;
-            }
+                None => upstream.latency_score(now, zone, rng.f64()),
+            };
             let candidate = (upstream.health.is_lost(), score, *id);
             if best.is_none_or(|b| (candidate.0, candidate.1) < (b.0, b.1)) {
                 best = Some(candidate);
@@ -394,6 +421,10 @@
                 _ => {}
             }
             upstream.health.leg_ended(now, token, signal);
+            let other_zone = self.placement.other_zone(&upstream.entry.zone);
+            let model = &mut self.placement.model;
+            let work = &mut upstream.work;
+            work.leg_ended(now, token, signal, other_zone, model);
         }
     }
 
@@ -408,30 +439,6 @@
     pub fn latency_ratio(time: Duration, typical: Duration) -> f64 {
         latency_ratio(time, typical)
     }
-
-    /// Returns one line per upstream with its name, service, zone, state and health.
-    pub fn describe(&self, now: Instant) -> Vec<String> {
-        let line = |u: &Upstream| {
-            format!(
-                "upstream={} service={} zone={} state={:?} score={:.2} in_flight={} lost={} cold={} leaving={} rest_ms={} faulty={}",
-                u.entry.name,
-                u.entry.service,
-                u.entry.zone,
-                u.entry.state,
-                u.health.score(now),
-                u.health.in_flight(),
-                u.health.is_lost(),
-                u.is_cold(now),
-                u.withdrawal.is_leaving,
-                u.withdrawal
-                    .rest
-                    .end(now)
-                    .map_or(0, |end| (end - now).as_millis()),
-                u.withdrawal.faults.is_held(now),
-            )
-        };
-        self.upstreams.values().map(line).collect()
-    }
 }
 
 fn cold_until(now: Instant, left: Duration) -> Option<Instant> {
@@ -439,6 +446,17 @@
 }
 
 impl Upstream {
+    /// Returns the score by which legs are placed if not by expected time, with a random part from
+    /// 0 to 1.
+    fn latency_score(&self, now: Instant, zone: &Name, random: f64) -> f64 {
+        let score = self.health.score(now) * (1.0 + SCORE_JITTER * random);
+        if self.entry.zone == *zone {
+            score
+        } else {
+            score + OTHER_ZONE_PENALTY
+        }
+    }
+
     fn takes_requests(&self, now: Instant, evacuated: &[Name]) -> bool {
         self.entry.state == UpstreamState::Ready
             && !self.is_displaced
