routing, relay: remember failing upstreams, share connections among many hosts, reopen broken ones

A host sends an upstream one leg a second or less and forgets a refusal in 1.5 s, so it chooses the same one again: 9,366 refused legs, and 350 answers 502 repeat_budget. - 81 hosts, 72 connections: each host keeps an idle one and has one at most. Upstreams that are alone for their shard reset 368 connections, and a request that overlaps another one finds no_upstream (236 answers). - A shard with one upstream fails as soon as a connection to it breaks, although the upstream is sound.

Where hosts outnumber connections, 0.7 of them are kept idle, divided by rendezvous order, and the other hosts open one for each leg; a host may use three at a time. An upstream whose connection failed is tried once more if there is no other.

--- a/crates/cornelwinch_relay/src/core.rs
+++ b/crates/cornelwinch_relay/src/core.rs
@@ -2,7 +2,7 @@
 
 use cornelwinch_routing::{
     CrashTracker, Fleet, GatherPlan, HostPermits, RetryBudget, Route, RouteTable, Service, Target,
-    UpstreamLimits, WeightedRoundRobin,
+    UpstreamId, UpstreamLimits, WeightedRoundRobin,
 };
 use cornelwinch_types::{Name, SortedMap};
 use std::rc::Rc;
@@ -23,6 +23,14 @@
 /// for a while.
 const CONNECTION_LIMIT_RATIO: f64 = 0.9;
 
+/// Connections of one host to an upstream where there are more hosts than connections. Few hosts use
+/// them at the same time, and an upstream resets those beyond its limit, which runs nothing.
+const MIN_CONNECTIONS: usize = 3;
+
+/// Share of an upstream's connections that all hosts together keep open while they are idle. The
+/// rest is for hosts that open a connection for each leg.
+const IDLE_CONNECTION_RATIO: f64 = 0.7;
+
 /// Relative step by which each sample moves the estimated median leg time up or down.
 const LEG_TIME_STEP_RATIO: f64 = 0.03;
 
@@ -82,11 +90,26 @@
             (all * COLD_LIMIT_RATIO) as usize
         });
         UpstreamLimits {
-            connections: (connections as usize).max(1),
+            connections: if connections < 1.0 {
+                MIN_CONNECTIONS
+            } else {
+                connections as usize
+            },
             cold_per_s,
         }
     }
 
+    /// Returns true if this host may keep an idle connection to an upstream.
+    pub(crate) fn may_keep_idle(&mut self, id: UpstreamId) -> bool {
+        let table = self.table.as_ref();
+        self.fleet.may_keep_idle(id, |service| {
+            let service = table.and_then(|table| table.service(service));
+            service.map_or(usize::MAX, |service| {
+                (f64::from(service.max_connections) * IDLE_CONNECTION_RATIO) as usize
+            })
+        })
+    }
+
     /// Returns true if the route has upstreams that take requests and are not lost. A gather needs
     /// them for enough shards.
     pub(crate) fn can_serve(&self, now: Instant, route: &Route) -> bool {
--- a/crates/cornelwinch_relay/src/fetch.rs
+++ b/crates/cornelwinch_relay/src/fetch.rs
@@ -56,6 +56,8 @@
     out: Rc<OutgoingRequest>,
     plan: FetchPlan,
     tried: Vec<UpstreamId>,
+    /// Tried upstreams whose connection failed. They are tried once more if there is no other.
+    unconnected: Vec<UpstreamId>,
     legs: FuturesUnordered<LegFuture>,
     /// Legs that are in flight or may have run. They count towards the attempts of the route.
     attempts_used: u32,
@@ -80,6 +82,7 @@
         out,
         plan,
         tried: Vec::new(),
+        unconnected: Vec::new(),
         legs: FuturesUnordered::new(),
         attempts_used: 0,
         legs_arrived: 0,
@@ -161,10 +164,7 @@
                 return false;
             }
         }
-        let picked =
-            self.shared
-                .pick_upstream(&self.plan.route.name, &self.plan.service, &self.tried);
-        let Some(upstream) = picked else {
+        let Some(upstream) = self.pick_upstream() else {
             return false;
         };
         let repeat = if self.legs.is_empty() {
@@ -204,6 +204,26 @@
         true
     }
 
+    /// Selects an upstream that was not tried, or else one whose connection failed.
+    fn pick_upstream(&mut self) -> Option<UpstreamEndpoint> {
+        let (route, service) = (&self.plan.route.name, &self.plan.service);
+        if let Some(upstream) = self.shared.pick_upstream(route, service, &self.tried) {
+            return Some(upstream);
+        }
+        if self.unconnected.is_empty() {
+            return None;
+        }
+        let others: Vec<UpstreamId> = self
+            .tried
+            .iter()
+            .filter(|id| !self.unconnected.contains(id))
+            .copied()
+            .collect();
+        let upstream = self.shared.pick_upstream(route, service, &others)?;
+        self.unconnected.retain(|id| *id != upstream.id);
+        Some(upstream)
+    }
+
     /// Records the outcome of a leg. Returns the answer if it completes the fetch.
     fn on_leg_end(
         &mut self,
@@ -212,7 +232,8 @@
         outcome: LegOutcome,
     ) -> Option<UpstreamAnswer> {
         self.log_failure(upstream, sent_at, &outcome);
-        let mut core = self.shared.core.borrow_mut();
+        let shared = self.shared.clone();
+        let mut core = shared.core.borrow_mut();
         match outcome {
             LegOutcome::Answer(answer) => {
                 if answer.status.is_success() {
@@ -232,10 +253,14 @@
                 if !reason.reached_upstream() {
                     self.legs_arrived -= 1;
                 }
+                if matches!(reason, NotRunReason::Connect | NotRunReason::Unsent) {
+                    self.note_unconnected(upstream.id);
+                }
             }
             LegOutcome::Lost(reason) => self.lost_reason = Some(reason),
             LegOutcome::Disconnected => {
                 self.lost_reason = Some("disconnected");
+                self.note_unconnected(upstream.id);
                 let now = Instant::now();
                 let (fingerprint, attempt) = (self.plan.fingerprint, self.out.attempt);
                 let upstream = Fingerprint::of_bytes(b"upstream", upstream.name.as_bytes());
@@ -254,6 +279,13 @@
         None
     }
 
+    /// Allows an upstream to be tried once more, unless it was already.
+    fn note_unconnected(&mut self, id: UpstreamId) {
+        if self.tried.iter().filter(|tried| **tried == id).count() == 1 {
+            self.unconnected.push(id);
+        }
+    }
+
     /// Logs a leg without a usable answer, subject to the rate limit on such lines.
     fn log_failure(&self, upstream: &UpstreamEndpoint, sent_at: Instant, outcome: &LegOutcome) {
         let (result, reason) = match outcome {
--- a/crates/cornelwinch_relay/src/leg.rs
+++ b/crates/cornelwinch_relay/src/leg.rs
@@ -264,11 +264,10 @@
                     Some(HealthSignal::Neutral),
                 );
             }
-            // The upstream may have closed a reused connection because it was idle for too long.
             let signal = if is_new {
                 HealthSignal::Failed
             } else {
-                HealthSignal::Neutral
+                HealthSignal::Dropped
             };
             log::debug!(
                 "event=leg_broken peer={} reason=\"{}\"",
@@ -326,6 +325,7 @@
         && !out.fresh_connection
         && !is_closing(&head.headers)
         && !http.sender.is_closed()
+        && shared.core.borrow_mut().may_keep_idle(upstream.id)
     {
         let keep_alive = keep_alive_timeout(&head.headers);
         shared.pool.release(upstream.id, http, keep_alive);
--- a/crates/cornelwinch_routing/src/fleet.rs
+++ b/crates/cornelwinch_routing/src/fleet.rs
@@ -10,8 +10,8 @@
 use crate::withdrawal::Withdrawal;
 use crate::work::{LegQuery, UpstreamWork};
 use crate::{
-    ColdRateLimiter, HealthSignal, HostPermits, LegRequest, UpstreamEndpoint, UpstreamEntry,
-    UpstreamHealth, UpstreamId, UpstreamLimits, UpstreamState,
+    ColdRateLimiter, HealthSignal, HostPermits, LegRequest, PlacementMode, UpstreamEndpoint,
+    UpstreamEntry, UpstreamHealth, UpstreamId, UpstreamLimits, UpstreamState,
 };
 
 /// Score penalty of an upstream in another zone, in typical leg times. It stands for
@@ -41,6 +41,8 @@
     cold_rate: ColdRateLimiter,
     /// Last limit shared by all hosts, and this host's permits of it.
     permits: Option<(usize, usize)>,
+    /// Last limit on idle connections of all hosts, and whether this host has one of them.
+    idle_permit: Option<(usize, bool)>,
     /// Time at which an entry that is missing from the list after an outage expires.
     missing_until: Option<Instant>,
     /// True if another upstream now uses the address. A request sent there would count
@@ -100,6 +102,7 @@
         self.hosts = Some(hosts);
         for (_, upstream) in self.upstreams.iter_mut() {
             upstream.permits = None;
+            upstream.idle_permit = None;
         }
     }
 
@@ -145,6 +148,7 @@
                 cold_until,
                 cold_rate: ColdRateLimiter::default(),
                 permits: None,
+                idle_permit: None,
                 missing_until: None,
                 is_displaced: false,
                 withdrawal,
@@ -295,7 +299,7 @@
                     continue;
                 }
             }
-            let score = match route {
+            let mut score = match route {
                 Some(route) => {
                     let query = LegQuery {
                         now,
@@ -308,6 +312,9 @@
                 }
                 None => upstream.latency_score(now, zone, rng),
             };
+            if placement.mode != PlacementMode::Latency {
+                score *= upstream.health.failure_factor(now);
+            }
             let candidate = (upstream.health.is_lost(), score, *id);
             if best.is_none_or(|b| (candidate.0, candidate.1) < (b.0, b.1)) {
                 best = Some(candidate);
@@ -381,6 +388,25 @@
             .is_some_and(|u| u.takes_requests(now, &self.evacuated))
     }
 
+    /// Reports whether this host may keep idle connections to an upstream. `total` gives how many all
+    /// hosts together may keep to an upstream of a service. Where there are more hosts than that,
+    /// the others open a connection for each leg, so that an upstream always accepts some more.
+    pub fn may_keep_idle(&mut self, id: UpstreamId, total: impl Fn(&Name) -> usize) -> bool {
+        let (Some(hosts), Some(upstream)) = (&self.hosts, self.upstreams.get_mut(&id)) else {
+            return true;
+        };
+        let total = total(&upstream.entry.service);
+        match upstream.idle_permit {
+            Some((last_total, is_kept)) if last_total == total => is_kept,
+            _ => {
+                let entry = &upstream.entry;
+                let is_kept = hosts.permits_for(total, &entry.name, &entry.zone) > 0;
+                upstream.idle_permit = Some((total, is_kept));
+                is_kept
+            }
+        }
+    }
+
     /// Returns the lost upstreams whose probe is due, and schedules their next one.
     pub fn take_due_probes(&mut self, now: Instant) -> Vec<UpstreamEndpoint> {
         let evacuated = &self.evacuated;
--- a/crates/cornelwinch_routing/src/health.rs
+++ b/crates/cornelwinch_routing/src/health.rs
@@ -1,5 +1,7 @@
 use std::time::{Duration, Instant};
 
+use crate::failures::FailureRate;
+
 /// Time constant with which the slowness of an upstream decays, so that it is tried
 /// again.
 const SLOWNESS_DECAY: Duration = Duration::from_millis(1_500);
@@ -17,6 +19,9 @@
 /// Sample of a leg that failed.
 const FAILED_SAMPLE: f64 = 8.0;
 
+/// Increase of the score factor if all legs are refused or fail.
+const FAILURE_WEIGHT: f64 = 4.0;
+
 /// Increase of the score factor for each leg in flight.
 const IN_FLIGHT_WEIGHT: f64 = 0.5;
 
@@ -45,6 +50,9 @@
     Misdirected,
     /// The answer was malformed or an error, or the connection broke.
     Failed,
+    /// A reused connection ended before an answer. The upstream may have closed it because it was
+    /// idle for too long.
+    Dropped,
     /// The answer was larger than it may be.
     Oversized,
     /// No connection could be made.
@@ -74,6 +82,7 @@
     consecutive_unanswered: u32,
     /// End of the last leg whose signal was not neutral.
     last_signal: Option<Instant>,
+    failures: FailureRate,
     /// Time of the next probe while the upstream counts as lost.
     probe_at: Option<Instant>,
 }
@@ -87,6 +96,7 @@
             in_flight: Vec::new(),
             consecutive_unanswered: 0,
             last_signal: None,
+            failures: FailureRate::default(),
             probe_at: None,
         }
     }
@@ -109,13 +119,17 @@
         match signal {
             HealthSignal::Answered { ratio } => {
                 self.mark_reachable();
+                self.failures.record(now, false);
                 self.sample(now, ratio.min(ANSWER_SAMPLE_LIMIT), SAMPLE_WEIGHT);
             }
             HealthSignal::Refused => {
                 self.mark_reachable();
+                self.failures.record(now, true);
                 self.sample(now, REFUSED_SAMPLE, SAMPLE_WEIGHT);
             }
+            HealthSignal::Dropped => self.failures.record(now, true),
             HealthSignal::Failed | HealthSignal::Oversized => {
+                self.failures.record(now, true);
                 self.sample(now, FAILED_SAMPLE, SAMPLE_WEIGHT);
             }
             HealthSignal::Unreachable => {
@@ -156,6 +170,12 @@
             * (1.0 + IN_FLIGHT_WEIGHT * self.in_flight.len() as f64)
     }
 
+    /// Returns the factor by which the expected time of the next leg grows with the share of recent
+    /// legs that were refused or failed, since such a leg has to be repeated.
+    pub fn failure_factor(&self, now: Instant) -> f64 {
+        1.0 + FAILURE_WEIGHT * self.failures.share(now)
+    }
+
     /// Reports whether the upstream left its last legs unanswered. A lost upstream is
     /// picked only if there is no other.
     pub fn is_lost(&self) -> bool {
--- a/crates/cornelwinch_routing/src/lib.rs
+++ b/crates/cornelwinch_routing/src/lib.rs
@@ -8,6 +8,7 @@
 mod cost_model;
 mod crashes;
 mod desired;
+mod failures;
 mod fleet;
 mod health;
 mod organisation;
--- a/crates/cornelwinch_routing/src/work.rs
+++ b/crates/cornelwinch_routing/src/work.rs
@@ -42,6 +42,10 @@
 const REFUSED_PENALTY: f64 = 3.0;
 const FAILED_PENALTY: f64 = 7.0;
 
+/// Least charge for a leg to another zone, as a share of its cost. Bytes between zones have a price
+/// also where their latency is low.
+const OTHER_ZONE_COST_RATIO: f64 = 0.5;
+
 /// Weight of the time by which a leg in flight is overdue. It shows that the upstream stalls, and
 /// what arrives meanwhile is queued behind it.
 const OVERDUE_WEIGHT: f64 = 2.0;
@@ -158,9 +162,10 @@
         let cost = query.model.cost(query.route);
         let (ln_speed, variance) = self.speed(now);
         let work = cost * (ln_speed + EXPLORATION * deviation * variance.sqrt()).exp();
-        let latency = query
-            .other_zone
-            .map_or(0.0, |zone| query.model.zone_latency(zone, cost));
+        let latency = query.other_zone.map_or(0.0, |zone| {
+            let latency = query.model.zone_latency(zone, cost);
+            latency.max(OTHER_ZONE_COST_RATIO * cost)
+        });
         let delay = self.delay.get(now) * query.model.delay_persistence();
         let penalty = self.penalty.get(now) * cost;
         latency + work + penalty + delay.max(self.overdue(now)) + self.wait(now, query.slots)
@@ -259,7 +264,10 @@
                 }
             }
             // The fleet ranks lost upstreams last and stops using misdirected ones.
-            HealthSignal::Unreachable | HealthSignal::Misdirected | HealthSignal::Neutral => {}
+            HealthSignal::Unreachable
+            | HealthSignal::Misdirected
+            | HealthSignal::Dropped
+            | HealthSignal::Neutral => {}
         }
     }
 
