--- a/crates/cornelwinch_routing/src/fleet.rs
+++ b/crates/cornelwinch_routing/src/fleet.rs
@@ -1,3 +1,4 @@
+mod connections;
 mod describe;
 mod expected;
 mod explain;
@@ -44,6 +45,8 @@
     cold_rate: ColdRateLimiter,
     /// Last limit shared by all hosts, and this host's permits of it.
     permits: Option<(usize, usize)>,
+    /// Last limit on idle connections of all hosts, and whether this host has one of them.
+    idle_permit: Option<(usize, bool)>,
     /// Time at which an entry that is missing from the list after an outage expires.
     missing_until: Option<Instant>,
     /// True if another upstream now uses the address. A request sent there would count
@@ -103,6 +106,7 @@
         self.hosts = Some(hosts);
         for (_, upstream) in self.upstreams.iter_mut() {
             upstream.permits = None;
+            upstream.idle_permit = None;
         }
     }
 
@@ -148,6 +152,7 @@
                 cold_until,
                 cold_rate: ColdRateLimiter::default(),
                 permits: None,
+                idle_permit: None,
                 missing_until: None,
                 is_displaced: false,
                 withdrawal,
@@ -289,13 +294,14 @@
             if exclusion.is_some() {
                 continue;
             }
-            let score = match route {
+            let mut score = match route {
                 Some(route) => {
                     let query = upstream.leg_query(now, placement, route);
                     upstream.work.expected_time(query, normal(rng))
                 }
                 None => upstream.latency_score(now, zone, rng.f64()),
             };
+            score *= upstream.failure_factor(now, placement);
             let candidate = (upstream.health.is_lost(), score, *id);
             if best.is_none_or(|b| (candidate.0, candidate.1) < (b.0, b.1)) {
                 best = Some(candidate);
--- a/crates/cornelwinch_routing/src/fleet/expected.rs
+++ b/crates/cornelwinch_routing/src/fleet/expected.rs
@@ -4,8 +4,8 @@
 
 use cornelwinch_types::Name;
 
-use super::Fleet;
-use crate::placement::CHECK_INTERVAL;
+use super::{Fleet, Upstream};
+use crate::placement::{CHECK_INTERVAL, Placement};
 use crate::work::LegQuery;
 use crate::{PlacementMode, UpstreamId};
 
@@ -121,3 +121,14 @@
         lines
     }
 }
+
+impl Upstream {
+    /// Returns the factor of the score for legs that the upstream refused or failed of late; 1 if
+    /// legs are placed by latency.
+    pub(super) fn failure_factor(&self, now: Instant, placement: &Placement) -> f64 {
+        match placement.mode {
+            PlacementMode::Latency => 1.0,
+            PlacementMode::ExpectedWork | PlacementMode::Learned => self.health.failure_factor(now),
+        }
+    }
+}
--- a/crates/cornelwinch_routing/src/fleet/explain.rs
+++ b/crates/cornelwinch_routing/src/fleet/explain.rs
@@ -56,14 +56,16 @@
             };
             let hosts = self.hosts.as_ref();
             let exclusion = upstream.exclusion(now, &self.evacuated, hosts, limits);
+            let failures = upstream.failure_factor(now, placement);
             let (score, details) = match route {
                 Some(route) => {
                     let query = upstream.leg_query(now, placement, route);
                     let score = upstream.work.expected_time(query, 0.0) * 1_000.0;
-                    (score, upstream.work.describe(now, upstream.entry.slots))
+                    let details = upstream.work.describe(now, upstream.entry.slots);
+                    (score * failures, details)
                 }
                 None => (
-                    upstream.latency_score(now, request.zone, 0.0),
+                    upstream.latency_score(now, request.zone, 0.0) * failures,
                     format!("in_flight={}", upstream.health.in_flight()),
                 ),
             };
