routing: verdicts, exposure and the choice of versions in rollouts

Cause: an order moves a service to another version, and the relay has no decision on it.

Change: RolloutDecider grants tokens of exposure and judges the target version from the reports of the hosts; HostRollouts restricts the versions that Fleet::pick may choose.

--- a/crates/cornelwinch_routing/src/fleet.rs
+++ b/crates/cornelwinch_routing/src/fleet.rs
@@ -5,8 +5,8 @@
 use crate::health::latency_ratio;
 use crate::withdrawal::Withdrawal;
 use crate::{
-    ColdRateLimiter, HealthSignal, HostPermits, UpstreamEndpoint, UpstreamEntry, UpstreamHealth,
-    UpstreamId, UpstreamLimits, UpstreamState,
+    ColdRateLimiter, HealthSignal, HostPermits, HostRollouts, UpstreamEndpoint, UpstreamEntry,
+    UpstreamHealth, UpstreamId, UpstreamLimits, UpstreamState,
 };
 
 /// Score penalty of an upstream in another zone, in typical leg times. It stands for
@@ -28,9 +28,9 @@
 const MAX_REMOVED_RUNS: usize = 4_096;
 
 #[derive(Debug)]
-struct Upstream {
-    entry: UpstreamEntry,
-    health: UpstreamHealth,
+pub(crate) struct Upstream {
+    pub(crate) entry: UpstreamEntry,
+    pub(crate) health: UpstreamHealth,
     cold_until: Option<Instant>,
     cold_rate: ColdRateLimiter,
     /// Last limit shared by all hosts, and this host's permits of it.
@@ -55,15 +55,16 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     last_id: u64,
-    upstreams: SortedMap<UpstreamId, Upstream>,
+    pub(crate) upstreams: SortedMap<UpstreamId, Upstream>,
     /// Current run of each registered name.
     names: SortedMap<Name, UpstreamId>,
-    services: SortedMap<Name, Vec<UpstreamId>>,
+    pub(crate) services: SortedMap<Name, Vec<UpstreamId>>,
     evacuated: Vec<Name>,
     /// Withdrawn runs without an entry, by name and start time.
     removed_runs: SortedMap<(Name, u64), RemovedRun>,
     /// Division of limits among hosts; `None` if this host is the only one.
     hosts: Option<HostPermits>,
+    pub(crate) rollouts: HostRollouts,
 }
 
 impl Fleet {
@@ -243,7 +244,8 @@
         rng: &mut fastrand::Rng,
     ) -> Option<UpstreamEndpoint> {
         let ids = self.services.get(service)?;
-        let mut best: Option<(bool, f64, UpstreamId)> = None;
+        let versions = self.rollouts.version_use(now, service);
+        let mut best: Option<((bool, bool, f64), UpstreamId)> = None;
         for id in ids {
             if tried.contains(id) {
                 continue;
@@ -254,6 +256,14 @@
             if !upstream.takes_requests(now, &self.evacuated) {
                 continue;
             }
+            let mut is_deferred = false;
+            if let Some(versions) = versions {
+                let group = self.rollouts.group(service, &upstream.entry.version);
+                match versions.defers(group, tried.is_empty()) {
+                    Some(deferred) => is_deferred = deferred,
+                    None => continue,
+                }
+            }
             if upstream.health.in_flight() >= limits.connections {
                 continue;
             }
@@ -269,13 +279,16 @@
             if upstream.entry.zone != *zone {
                 score += OTHER_ZONE_PENALTY;
             }
-            let candidate = (upstream.health.is_lost(), score, *id);
-            if best.is_none_or(|b| (candidate.0, candidate.1) < (b.0, b.1)) {
-                best = Some(candidate);
+            let rank = (upstream.health.is_lost(), is_deferred, score);
+            if best.is_none_or(|(best, _)| rank < best) {
+                best = Some((rank, *id));
             }
         }
-        let id = best?.2;
+        let id = best?.1;
         let upstream = self.upstreams.get_mut(&id)?;
+        if versions.is_some() {
+            self.rollouts.spend(service, &upstream.entry.version);
+        }
         if let Some(cold_per_s) = limits.cold_per_s
             && upstream.is_cold(now)
         {
@@ -293,9 +306,9 @@
     pub fn has_available_upstream(&self, now: Instant, service: &Name) -> bool {
         self.services.get(service).is_some_and(|ids| {
             ids.iter().any(|id| {
-                self.upstreams
-                    .get(id)
-                    .is_some_and(|u| u.takes_requests(now, &self.evacuated) && !u.health.is_lost())
+                self.upstreams.get(id).is_some_and(|u| {
+                    u.may_get_leg(now, &self.evacuated, &self.rollouts) && !u.health.is_lost()
+                })
             })
         })
     }
@@ -339,7 +352,7 @@
     pub fn takes_requests(&self, now: Instant, id: UpstreamId) -> bool {
         self.upstreams
             .get(&id)
-            .is_some_and(|u| u.takes_requests(now, &self.evacuated))
+            .is_some_and(|u| u.may_get_leg(now, &self.evacuated, &self.rollouts))
     }
 
     /// Returns the lost upstreams whose probe is due, and schedules their next one.
@@ -439,6 +452,13 @@
 }
 
 impl Upstream {
+    /// Reports whether the upstream takes requests and its version may be used.
+    fn may_get_leg(&self, now: Instant, evacuated: &[Name], rollouts: &HostRollouts) -> bool {
+        self.takes_requests(now, evacuated)
+            && (rollouts.is_empty()
+                || rollouts.is_allowed(now, &self.entry.service, &self.entry.version))
+    }
+
     fn takes_requests(&self, now: Instant, evacuated: &[Name]) -> bool {
         self.entry.state == UpstreamState::Ready
             && !self.is_displaced
@@ -462,7 +482,7 @@
         }
     }
 
-    fn is_cold(&self, now: Instant) -> bool {
+    pub(crate) fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.is_some_and(|until| now < until)
     }
 }
--- a/crates/cornelwinch_routing/src/lib.rs
+++ b/crates/cornelwinch_routing/src/lib.rs
@@ -17,6 +17,7 @@
 mod overload;
 mod permits;
 mod return_schedule;
+mod rollout;
 mod round_robin;
 mod sources;
 mod table;
@@ -39,6 +40,11 @@
 pub use overload::{GatherLimit, GatherOutcome};
 pub use permits::HostPermits;
 pub use return_schedule::ReturnSchedule;
+pub use rollout::{
+    Evidence, Finding, HostRollout, HostRollouts, LegTally, RolloutDecider, RolloutLimits,
+    RolloutOrder, RolloutPhase, RolloutState, RolloutStatus, RouteTally, VersionGroup,
+    VersionReport, VersionStage,
+};
 pub use round_robin::WeightedRoundRobin;
 pub use sources::{HostEntry, source_count, source_order};
 pub use table::{RouteLookup, RouteTable};
