relay, platform: rollout orders restrict the versions of upstreams

Cause: orders in the store were not read, so their status had no effect.

Change: the kind rollouts is listed, watched and fed to other hosts if bounds.rollout.follow is set, which it is not by default, since no coordinator decides on orders yet. A host without the setting ignores the kind. An order that becomes unreadable stays in force. The status is encoded under the revision of the object. The state page shows one line per order.

--- a/crates/cornelwinch_relay/src/apply.rs
+++ b/crates/cornelwinch_relay/src/apply.rs
@@ -1,7 +1,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use cornelwinch_routing::{HostEntry, HostPermits, RouteTable, UpstreamEntry};
+use cornelwinch_routing::{HostEntry, HostPermits, RolloutOrder, RouteTable, UpstreamEntry};
 use cornelwinch_types::Name;
 
 use crate::dialect::{ObjectKind, ObjectValue, StoreObject};
@@ -19,12 +19,13 @@
         match kind {
             ObjectKind::DesiredState => apply_desired(shared, item),
             ObjectKind::Upstreams => apply_upstream(shared, item, keep_missing),
-            ObjectKind::Evacuations | ObjectKind::Hosts => {}
+            ObjectKind::Evacuations | ObjectKind::Hosts | ObjectKind::Rollouts => {}
         }
     }
     match kind {
         ObjectKind::Evacuations => apply_evacuations(shared),
         ObjectKind::Hosts => apply_hosts(shared),
+        ObjectKind::Rollouts => apply_rollouts(shared),
         ObjectKind::DesiredState | ObjectKind::Upstreams => {}
     }
 }
@@ -36,7 +37,7 @@
             log::warn!("event=configuration_unreadable reason={reason:?}");
             return;
         }
-        Some(ObjectValue::Upstream(_) | ObjectValue::Host(_) | ObjectValue::Present) | None => {
+        Some(_) | None => {
             log::warn!("event=configuration_missing name={}", item.name);
             return;
         }
@@ -133,3 +134,34 @@
     *shared.hosts.borrow_mut() = hosts;
     shared.update_caps();
 }
+
+/// Applies all orders. One that became unreadable stays in force as it was, since without it the
+/// target version would get any share of the requests.
+fn apply_rollouts(shared: &Shared) {
+    let items = shared.mirror.borrow().items(ObjectKind::Rollouts);
+    let fleet = &mut shared.core.borrow_mut().fleet;
+    let orders: Vec<RolloutOrder> = items
+        .into_iter()
+        .filter_map(|item| match item.value {
+            Some(ObjectValue::Rollout(order)) => Some(order),
+            other => {
+                log::warn!(
+                    "event=rollout_unreadable rollout={} value={other:?}",
+                    item.name
+                );
+                let known = fleet.rollouts().get(&item.name);
+                known.map(|rollout| rollout.order().clone())
+            }
+        })
+        .collect();
+    for order in &orders {
+        log::info!(
+            "event=rollout_changed service={} target={} state={:?} revision={}",
+            order.service,
+            order.target_version,
+            order.state(),
+            order.revision
+        );
+    }
+    fleet.set_rollouts(Instant::now(), orders);
+}
--- a/crates/cornelwinch_relay/src/dialect.rs
+++ b/crates/cornelwinch_relay/src/dialect.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use cornelwinch_routing::{DesiredState, HostEntry, UpstreamEntry};
+use cornelwinch_routing::{DesiredState, HostEntry, RolloutOrder, RolloutState, UpstreamEntry};
 use cornelwinch_types::Name;
 use hyper::header::HeaderName;
 use serde::{Deserialize, Serialize};
@@ -56,6 +56,8 @@
     Evacuations,
     /// The registered hosts. This kind is defined by this project, not by the platform.
     Hosts,
+    /// The orders to move a service to another version.
+    Rollouts,
 }
 
 /// Paths, requests and decoders of the platform's store.
@@ -70,6 +72,8 @@
     pub register_host: fn(host: &HostEntry) -> WriteRequest,
     /// Returns the request that replaces the entry of this host.
     pub replace_host: fn(host: &HostEntry) -> WriteRequest,
+    /// Returns the request that writes the state of an order under its revision.
+    pub write_rollout: fn(order: &RolloutOrder, state: RolloutState) -> WriteRequest,
     /// Decodes one page of a list.
     pub decode_page: fn(kind: ObjectKind, body: &[u8]) -> Result<ObjectPage, String>,
     /// Decodes the changes that a watch returns; `next` of the returned page is `None`.
@@ -129,6 +133,8 @@
     Upstream(UpstreamEntry),
     /// A registered host.
     Host(HostEntry),
+    /// An order to move a service to another version.
+    Rollout(RolloutOrder),
     /// An object that carries no data beyond its name, such as an evacuated zone.
     Present,
     /// An object that could not be decoded, with the reason.
--- a/crates/cornelwinch_relay/src/feed_message.rs
+++ b/crates/cornelwinch_relay/src/feed_message.rs
@@ -9,11 +9,12 @@
 use crate::dialect::{ObjectKind, ObjectValue, StoreObject};
 
 /// Object kinds that a source sends to the hosts that it feeds.
-pub(crate) const FED_KINDS: [ObjectKind; 4] = [
+pub(crate) const FED_KINDS: [ObjectKind; 5] = [
     ObjectKind::DesiredState,
     ObjectKind::Upstreams,
     ObjectKind::Evacuations,
     ObjectKind::Hosts,
+    ObjectKind::Rollouts,
 ];
 
 /// A message between a source and a host that it feeds.
--- a/crates/cornelwinch_relay/src/fetch.rs
+++ b/crates/cornelwinch_relay/src/fetch.rs
@@ -192,9 +192,18 @@
         self.legs_arrived += 1;
         let median_leg_time = self.shared.core.borrow().median_leg_time(&self.plan.route);
         let (shared, out) = (self.shared.clone(), self.out.clone());
+        let route = self.plan.route.name.clone();
         self.legs.push(Box::pin(async move {
             let sent_at = Instant::now();
-            let outcome = run_leg(shared, out, upstream.clone(), median_leg_time).await;
+            let outcome = run_leg(
+                shared,
+                out,
+                upstream.clone(),
+                median_leg_time,
+                route,
+                is_repeat,
+            )
+            .await;
             (upstream, sent_at, outcome)
         }));
         true
--- a/crates/cornelwinch_relay/src/follow.rs
+++ b/crates/cornelwinch_relay/src/follow.rs
@@ -43,8 +43,10 @@
             ObjectKind::DesiredState,
             ObjectKind::Upstreams,
             ObjectKind::Evacuations,
+            ObjectKind::Rollouts,
         ]
         .into_iter()
+        .filter(|kind| shared.follows(*kind))
         .map(|kind| tokio::task::spawn_local(follow_kind(shared.clone(), kind)))
         .collect();
         tasks.push(tokio::task::spawn_local(follow_hosts(shared.clone())));
--- a/crates/cornelwinch_relay/src/ingest.rs
+++ b/crates/cornelwinch_relay/src/ingest.rs
@@ -18,6 +18,9 @@
         items: Vec<StoreObject>,
         removal_grace: Option<Duration>,
     ) {
+        if !self.follows(kind) {
+            return;
+        }
         let is_first = self.mirror.borrow().revision(kind).is_none();
         let version = self.desired_state_change(kind, &items);
         let changes = self.mirror.borrow_mut().apply_list(kind, revision, items);
@@ -43,6 +46,9 @@
         items: Vec<StoreObject>,
         removal_grace: Option<Duration>,
     ) {
+        if !self.follows(kind) {
+            return;
+        }
         let version = self.desired_state_change(kind, &items);
         let changes = self
             .mirror
@@ -51,6 +57,11 @@
         self.apply_and_publish(kind, revision, changes, removal_grace, version);
     }
 
+    /// Returns true if this host uses objects of a kind. Another host that feeds it may send others.
+    pub(crate) fn follows(&self, kind: ObjectKind) -> bool {
+        kind != ObjectKind::Rollouts || self.settings.borrow().bounds.follows_rollouts()
+    }
+
     fn apply_and_publish(
         &self,
         kind: ObjectKind,
--- a/crates/cornelwinch_relay/src/leg.rs
+++ b/crates/cornelwinch_relay/src/leg.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use cornelwinch_routing::{Fleet, HealthSignal, UpstreamEndpoint};
-use cornelwinch_types::Fingerprint;
+use cornelwinch_types::{Fingerprint, Name};
 use http_body_util::Full;
 use hyper::header::{self, HeaderValue};
 use hyper::http::response::Parts;
@@ -118,15 +118,20 @@
     token: u64,
     sent_at: Instant,
     median_leg_time: Duration,
+    route: Name,
+    is_repeat: bool,
     reported: bool,
 }
 
 impl LegGuard {
     fn report(&mut self, signal: HealthSignal) {
         self.reported = true;
-        let mut core = self.shared.core.borrow_mut();
-        core.fleet
-            .leg_ended(Instant::now(), self.upstream.id, self.token, signal);
+        let now = Instant::now();
+        let fleet = &mut self.shared.core.borrow_mut().fleet;
+        fleet.leg_ended(now, self.upstream.id, self.token, signal);
+        let time = now.saturating_duration_since(self.sent_at);
+        let (id, is_repeat) = (self.upstream.id, self.is_repeat);
+        fleet.record_version_leg(now, id, &self.route, signal, time, is_repeat);
     }
 
     fn latency_ratio(&self) -> f64 {
@@ -154,6 +159,8 @@
     out: Rc<OutgoingRequest>,
     upstream: UpstreamEndpoint,
     median_leg_time: Duration,
+    route: Name,
+    is_repeat: bool,
 ) -> LegOutcome {
     let token = shared.next_leg_token();
     let now = Instant::now();
@@ -168,6 +175,8 @@
         token,
         sent_at: now,
         median_leg_time,
+        route,
+        is_repeat,
         reported: false,
     };
     let (outcome, signal) = exchange(&shared, &out, &upstream).await;
--- a/crates/cornelwinch_relay/src/operator.rs
+++ b/crates/cornelwinch_relay/src/operator.rs
@@ -110,6 +110,7 @@
     }
     lines.extend(organisations);
     lines.extend(core.gather_limits.describe());
+    lines.extend(core.fleet.rollouts().describe(now));
     lines.extend(core.fleet.describe(now));
     lines.push(String::new());
     lines.join("\n")
--- a/crates/cornelwinch_relay/src/settings.rs
+++ b/crates/cornelwinch_relay/src/settings.rs
@@ -129,6 +129,9 @@
     pub exposure_slack: f64,
     /// Time from the 50th bad answer to the last request, in milliseconds.
     pub rollback_ms: u64,
+    /// Whether orders are followed. The default is off, since no coordinator decides on them yet.
+    #[serde(default)]
+    pub follow: bool,
 }
 
 /// How the upstream of a leg is chosen.
@@ -257,6 +260,11 @@
         Duration::from_millis(self.stable_ms).mul_f64(WATCH_TIMEOUT_RATIO)
     }
 
+    /// Returns true if orders to move a service to another version are followed.
+    pub(crate) fn follows_rollouts(&self) -> bool {
+        self.rollout.is_some_and(|rollout| rollout.follow)
+    }
+
     /// Returns the grace period between SIGTERM and SIGKILL.
     pub fn grace_period(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
