relay: a single host decides on rollout orders and writes their status

Cause: nothing decided on an order, so its status never changed.

Change: the coordinator writes serving before it grants anything, which gives the object a new revision, so that an earlier decider yields or gets 409; it then writes the verdict and reads the orders back after each write. Reports come from the own host only, if no other host is registered: the connection between hosts does not exist here yet. With several hosts no stage arrives, so the target version gets nothing and nothing is decided. Orders stay unfollowed by default. Metrics count legs by version group; the state page shows the order on the host and at the decider.

--- a/crates/cornelwinch_relay/src/follow.rs
+++ b/crates/cornelwinch_relay/src/follow.rs
@@ -139,6 +139,16 @@
     }
 }
 
+/// Lists the rollout orders once. On failure the previous list stays in use.
+pub(crate) async fn list_rollouts(shared: &Rc<Shared>, client: &mut StoreClient) {
+    match list(shared, client, ObjectKind::Rollouts, false).await {
+        Ok(page) => {
+            ingest_page(shared, ObjectKind::Rollouts, page, Shared::ingest_list);
+        }
+        Err(error) => log::info!("event=rollout_list_failed {error}"),
+    }
+}
+
 /// Ingests an answer of the store, as a complete list or as changes, and returns its revision.
 fn ingest_page(
     shared: &Shared,
--- a/crates/cornelwinch_relay/src/lib.rs
+++ b/crates/cornelwinch_relay/src/lib.rs
@@ -34,6 +34,7 @@
 mod pool;
 mod relay;
 mod report;
+mod rollouts;
 mod scatter;
 mod settings;
 mod shared;
--- a/crates/cornelwinch_relay/src/operator.rs
+++ b/crates/cornelwinch_relay/src/operator.rs
@@ -58,7 +58,8 @@
     let text = if request.uri().path() == "/state" {
         state_page(shared)
     } else {
-        shared.core.borrow().metrics.to_text()
+        let core = shared.core.borrow();
+        core.metrics.to_text() + &core.fleet.rollouts().to_metrics()
     };
     Response::new(Full::new(Bytes::from(text)))
 }
@@ -111,6 +112,7 @@
     lines.extend(organisations);
     lines.extend(core.gather_limits.describe());
     lines.extend(core.fleet.rollouts().describe(now));
+    lines.extend(shared.rollouts.describe());
     lines.extend(core.fleet.describe(now));
     lines.push(String::new());
     lines.join("\n")
--- a/crates/cornelwinch_relay/src/relay.rs
+++ b/crates/cornelwinch_relay/src/relay.rs
@@ -19,6 +19,7 @@
 use crate::logging::{FLUSH_INTERVAL, LogHandle};
 use crate::operator::{answer_metrics, answer_readiness, serve_http};
 use crate::report::report_crashes;
+use crate::rollouts::coordinate_rollouts;
 use crate::settings::RelaySettings;
 use crate::shared::Shared;
 use crate::sync::keep_in_sync;
@@ -82,6 +83,7 @@
     tokio::task::spawn_local(report_crashes(shared.clone()));
     tokio::task::spawn_local(probe_lost(shared.clone()));
     tokio::task::spawn_local(coordinate(shared.clone()));
+    tokio::task::spawn_local(coordinate_rollouts(shared.clone()));
     Ok(Relay {
         shared,
         close_idle: Rc::new(close_idle),
--- a/crates/cornelwinch_relay/src/shared.rs
+++ b/crates/cornelwinch_relay/src/shared.rs
@@ -15,6 +15,7 @@
 use crate::feed_message::{FeedMessage, encode};
 use crate::mirror::Mirror;
 use crate::pool::Pool;
+use crate::rollouts::Rollouts;
 use crate::store_health::StoreHealth;
 use crate::{Dialect, RelaySettings};
 
@@ -44,6 +45,7 @@
     /// The registered hosts.
     pub(crate) hosts: RefCell<Vec<HostEntry>>,
     pub(crate) store_health: StoreHealth,
+    pub(crate) rollouts: Rollouts,
     /// Sends encoded messages to the hosts that this one feeds.
     pub(crate) feed: broadcast::Sender<Bytes>,
     pub(crate) coordination: Coordination,
@@ -68,6 +70,7 @@
             mirror: RefCell::default(),
             hosts: RefCell::default(),
             store_health: StoreHealth::default(),
+            rollouts: Rollouts::default(),
             feed: broadcast::channel(FEED_QUEUE_MESSAGES).0,
             coordination: Coordination::default(),
             is_source: Cell::new(false),
--- a/crates/cornelwinch_relay/src/store.rs
+++ b/crates/cornelwinch_relay/src/store.rs
@@ -42,6 +42,13 @@
     Decode { reason: String },
 }
 
+impl StoreError {
+    /// Returns true if the store refused a write because the object has changed.
+    pub(crate) fn is_conflict(&self) -> bool {
+        matches!(self, Self::Status { status } if *status == StatusCode::CONFLICT)
+    }
+}
+
 /// Client of the store with a single connection, which is reopened after a failure.
 #[derive(Debug)]
 pub(crate) struct StoreClient {
--- a/crates/cornelwinch_routing/src/rollout/host.rs
+++ b/crates/cornelwinch_routing/src/rollout/host.rs
@@ -1,3 +1,4 @@
+use std::fmt::Write;
 use std::time::{Duration, Instant};
 
 use cornelwinch_types::{Name, SortedMap};
@@ -254,6 +255,26 @@
         tally.record(leg.signal, leg.time, leg.is_cold);
     }
 
+    /// Returns the legs by service, version group and route as lines of metrics.
+    pub fn to_metrics(&self) -> String {
+        let mut text = String::new();
+        for (service, rollout) in self.services.iter() {
+            for legs in rollout.routes.values() {
+                for (group, tally) in [("target", &legs.target), ("other", &legs.other)] {
+                    for (result, count) in [("ended", tally.ended), ("failed", tally.failed)] {
+                        let route = &legs.route;
+                        writeln!(
+                            text,
+                            "cornelwinch_version_legs_total{{service=\"{service}\",version=\"{group}\",route=\"{route}\",result=\"{result}\"}} {count}"
+                        )
+                        .expect("writing to a string does not fail");
+                    }
+                }
+            }
+        }
+        text
+    }
+
     /// Returns one line per order.
     pub fn describe(&self, now: Instant) -> Vec<String> {
         let line = |rollout: &HostRollout| {
