relay: hosts report on rollout orders to the coordinator

Cause: only a single host could decide on an order, since reports and stages had no connection between hosts.

Change: version reports and stages pass on /coordination every 400 ms while an order serves; the coordinator answers its own reports without a socket. Encoded fields have short names.

--- a/crates/cornelwinch_relay/src/apply.rs
+++ b/crates/cornelwinch_relay/src/apply.rs
@@ -164,4 +164,5 @@
         );
     }
     fleet.set_rollouts(Instant::now(), orders);
+    shared.coordination.changed.notify_one();
 }
--- a/crates/cornelwinch_relay/src/coordination.rs
+++ b/crates/cornelwinch_relay/src/coordination.rs
@@ -23,6 +23,9 @@
 /// Interval between two reports while no request waits.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Interval between two reports on rollout orders.
+const VERSION_REPORT_INTERVAL: Duration = Duration::from_millis(400);
+
 /// Time for which a host without a coordinator waits before it searches again.
 const SEARCH_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -144,7 +147,9 @@
 
 /// Returns true if the settings and the desired state ask for a coordinator.
 fn is_needed(shared: &Shared) -> bool {
-    shared.settings.borrow().bounds.cap.is_some() && shared.core.borrow().caps.stock.is_needed()
+    let core = shared.core.borrow();
+    let has_caps = shared.settings.borrow().bounds.cap.is_some() && core.caps.stock.is_needed();
+    has_caps || core.fleet.rollouts().is_any_serving()
 }
 
 fn set_coordinator(shared: &Shared, name: Option<&Name>) {
@@ -238,6 +243,7 @@
         Coordinator::ThisHost => {
             while is_needed(shared) && shared.can_coordinate() {
                 shared.report_to_itself();
+                shared.report_versions_to_itself();
                 sleep(REPORT_INTERVAL).await;
             }
             "not_source".to_owned()
@@ -251,15 +257,23 @@
 
 async fn report(shared: &Shared, socket: &mut Socket) -> Result<(), String> {
     let mut next_report = Instant::now();
+    let mut next_versions = next_report;
     let mut waiting_since = None;
     while is_needed(shared) {
         if waiting_since.is_some_and(|since: Instant| since.elapsed() >= ANSWER_TIMEOUT) {
             return Err("silent".to_owned());
         }
-        if next_report <= Instant::now() || shared.core.borrow().caps.stock.wants_report() {
-            next_report = Instant::now() + REPORT_INTERVAL;
-            waiting_since.get_or_insert(Instant::now());
-            for message in next_messages(shared) {
+        let now = Instant::now();
+        // Reports on caps may be so frequent that the interval after the last one never ends.
+        let has_versions = next_versions <= now;
+        if has_versions {
+            next_versions = now + VERSION_REPORT_INTERVAL;
+        }
+        let is_due = has_versions || next_report <= now;
+        if is_due || shared.core.borrow().caps.stock.wants_report() {
+            next_report = now + REPORT_INTERVAL;
+            waiting_since.get_or_insert(now);
+            for message in next_messages(shared, has_versions) {
                 let buf = message.encode();
                 shared.core.borrow_mut().metrics.coordination_bytes += buf.len() as u64;
                 send(socket, buf).await?;
@@ -277,10 +291,15 @@
     Ok(())
 }
 
-/// Returns what this host reports now.
-fn next_messages(shared: &Shared) -> Vec<CoordinationMessage> {
+/// Returns what this host reports now. Versions are reported at the usual interval only.
+fn next_messages(shared: &Shared, has_versions: bool) -> Vec<CoordinationMessage> {
     let report = shared.core.borrow_mut().caps.stock.report(Instant::now());
-    vec![CoordinationMessage::CapReport(report)]
+    let mut messages = vec![CoordinationMessage::CapReport(report)];
+    if has_versions {
+        let reports = shared.version_reports().into_iter();
+        messages.extend(reports.map(CoordinationMessage::VersionReport));
+    }
+    messages
 }
 
 /// Applies a message of the coordinator.
@@ -292,8 +311,10 @@
                 return Err("ended".to_owned());
             }
         }
+        CoordinationMessage::VersionStage(stage) => shared.record_stage(&stage),
         CoordinationMessage::Accept { .. }
         | CoordinationMessage::Join { .. }
+        | CoordinationMessage::VersionReport(_)
         | CoordinationMessage::CapReport(_) => return Err("no_answer".to_owned()),
     }
     Ok(())
@@ -322,6 +343,15 @@
     };
     loop {
         let message = receive(socket).await?;
+        if let CoordinationMessage::VersionReport(report) = message {
+            // There is no stage until the order has been taken over in the store.
+            if let Some(stage) = shared.answer_version_report(&host, report) {
+                let buf = CoordinationMessage::VersionStage(stage).encode();
+                shared.core.borrow_mut().metrics.coordination_bytes += buf.len() as u64;
+                send(socket, buf).await?;
+            }
+            continue;
+        }
         let Some(answer) = answer(shared, &host, &message) else {
             return Err("no_report".to_owned());
         };
@@ -346,6 +376,8 @@
         )),
         CoordinationMessage::Accept { .. }
         | CoordinationMessage::Join { .. }
+        | CoordinationMessage::VersionReport(_)
+        | CoordinationMessage::VersionStage(_)
         | CoordinationMessage::CapGrant(_) => None,
     }
 }
--- a/crates/cornelwinch_relay/src/coordination_message.rs
+++ b/crates/cornelwinch_relay/src/coordination_message.rs
@@ -1,5 +1,5 @@
 use bytes::Bytes;
-use cornelwinch_routing::{CapGrant, CapReport};
+use cornelwinch_routing::{CapGrant, CapReport, VersionReport, VersionStage};
 use cornelwinch_types::Name;
 use serde::{Deserialize, Serialize};
 
@@ -16,6 +16,10 @@
     /// Answer to a [`CapReport`](Self::CapReport).
     #[serde(rename = "G")]
     CapGrant(CapGrant),
+    /// Report on a rollout order.
+    VersionReport(VersionReport),
+    /// Answer to a [`VersionReport`](Self::VersionReport).
+    VersionStage(VersionStage),
 }
 
 impl CoordinationMessage {
--- a/crates/cornelwinch_relay/src/rollouts.rs
+++ b/crates/cornelwinch_relay/src/rollouts.rs
@@ -14,7 +14,7 @@
 use crate::shared::Shared;
 use crate::store::StoreClient;
 
-/// Interval between two decisions on the orders, and between two reports of a host.
+/// Interval between two decisions on the orders.
 const DECISION_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Pause after a failed write of a status.
@@ -60,7 +60,7 @@
 impl Rollouts {
     /// Records the report of a host, which has chosen this host as its coordinator, and returns
     /// the stage of the order if there is one.
-    pub(crate) fn answer_report(
+    fn answer_report(
         &self,
         now: Instant,
         host: &Name,
@@ -184,8 +184,8 @@
     Failed,
 }
 
-/// Reports on the orders to the coordinator, and decides on those that other hosts report. Returns
-/// at once if orders were not followed when the process started.
+/// Decides on the orders that hosts report to this one. Returns at once if orders were not followed
+/// when the process started.
 pub(crate) async fn coordinate_rollouts(shared: Rc<Shared>) {
     if !shared.follows(ObjectKind::Rollouts) {
         return;
@@ -195,32 +195,42 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        report_locally(&shared);
         decide_all(&shared, &mut client).await;
     }
 }
 
-/// Answers the reports of this host if it is the only one. Reports of several hosts need a
-/// connection to one coordinator; until then their target versions get nothing.
-fn report_locally(shared: &Shared) {
-    let this_host = shared.settings.borrow().host.clone();
-    let is_only_host = shared
-        .hosts
-        .borrow()
-        .iter()
-        .all(|host| host.name == this_host);
-    if !is_only_host || shared.hosts.borrow().is_empty() {
-        return;
+impl Shared {
+    /// Returns the reports of this host on the orders that serve.
+    pub(crate) fn version_reports(&self) -> Vec<VersionReport> {
+        let fleet = &self.core.borrow().fleet;
+        fleet.version_reports(Instant::now(), self.rollouts.run)
     }
-    let now = Instant::now();
-    let reports = shared
-        .core
-        .borrow()
-        .fleet
-        .version_reports(now, shared.rollouts.run);
-    for report in reports {
-        if let Some(stage) = shared.rollouts.answer_report(now, &this_host, report) {
-            shared.core.borrow_mut().fleet.apply_stage(now, &stage);
+
+    /// Answers the report of a host as coordinator.
+    pub(crate) fn answer_version_report(
+        &self,
+        host: &Name,
+        report: VersionReport,
+    ) -> Option<VersionStage> {
+        if !self.follows(ObjectKind::Rollouts) || !self.can_coordinate() {
+            return None;
+        }
+        self.rollouts.answer_report(Instant::now(), host, report)
+    }
+
+    /// Applies a stage from the coordinator.
+    pub(crate) fn record_stage(&self, stage: &VersionStage) {
+        let fleet = &mut self.core.borrow_mut().fleet;
+        fleet.apply_stage(Instant::now(), stage);
+    }
+
+    /// Exchanges reports and stages within this host, which is the coordinator.
+    pub(crate) fn report_versions_to_itself(&self) {
+        let this_host = self.settings.borrow().host.clone();
+        for report in self.version_reports() {
+            if let Some(stage) = self.answer_version_report(&this_host, report) {
+                self.record_stage(&stage);
+            }
         }
     }
 }
--- a/crates/cornelwinch_relay/src/settings.rs
+++ b/crates/cornelwinch_relay/src/settings.rs
@@ -129,7 +129,8 @@
     pub exposure_slack: f64,
     /// Time from the 50th bad answer to the last request, in milliseconds.
     pub rollback_ms: u64,
-    /// Whether orders are followed. The default is off, since no coordinator decides on them yet.
+    /// Whether orders are followed. The default is off, since reports on many orders at a time
+    /// exceed the traffic that a host may use for control.
     #[serde(default)]
     pub follow: bool,
 }
--- a/crates/cornelwinch_routing/src/rollout/decider.rs
+++ b/crates/cornelwinch_routing/src/rollout/decider.rs
@@ -162,6 +162,7 @@
             granted += tokens;
         }
         let responded = now;
+        let age = report.age;
         self.hosts.insert(
             host.clone(),
             HostRecord {
@@ -173,6 +174,7 @@
         Some(VersionStage {
             service: self.service.clone(),
             target_version: self.target_version.clone(),
+            age,
             phase: self.phase,
             granted,
         })
--- a/crates/cornelwinch_routing/src/rollout/fleet.rs
+++ b/crates/cornelwinch_routing/src/rollout/fleet.rs
@@ -17,9 +17,9 @@
         self.rollouts.set_orders(now, orders);
     }
 
-    /// Applies a stage; `reported` is the time before the report that it responds to was sent.
-    pub fn apply_stage(&mut self, reported: Instant, stage: &VersionStage) {
-        self.rollouts.apply_stage(reported, stage);
+    /// Applies a stage. It holds for a fixed time from the report that it responds to.
+    pub fn apply_stage(&mut self, now: Instant, stage: &VersionStage) {
+        self.rollouts.apply_stage(now, stage);
     }
 
     /// Returns the reports about all orders that serve. `run` distinguishes runs of this host.
--- a/crates/cornelwinch_routing/src/rollout/host.rs
+++ b/crates/cornelwinch_routing/src/rollout/host.rs
@@ -130,6 +130,12 @@
         self.services.is_empty()
     }
 
+    /// Reports whether an order has no verdict yet.
+    pub fn is_any_serving(&self) -> bool {
+        let mut all = self.services.values();
+        all.any(|rollout| rollout.order.state() == RolloutState::Serving)
+    }
+
     /// Returns the order of a service.
     pub fn get(&self, service: &Name) -> Option<&HostRollout> {
         self.services.get(service)
@@ -178,8 +184,8 @@
             .collect()
     }
 
-    /// Applies a stage; `reported` is the time before the report that it responds to was sent.
-    pub fn apply_stage(&mut self, reported: Instant, stage: &VersionStage) {
+    /// Applies a stage. It holds for a fixed time from the report that it responds to.
+    pub fn apply_stage(&mut self, now: Instant, stage: &VersionStage) {
         let Some(rollout) = self.services.get_mut(&stage.service) else {
             return;
         };
@@ -192,6 +198,7 @@
             rollout.phase = stage.phase;
         }
         rollout.granted = rollout.granted.max(stage.granted);
+        let reported = (rollout.learned + stage.age).min(now);
         rollout.valid_until = rollout.valid_until.max(Some(reported + STAGE_LEASE));
     }
 
--- a/crates/cornelwinch_routing/src/rollout/tally.rs
+++ b/crates/cornelwinch_routing/src/rollout/tally.rs
@@ -23,10 +23,13 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LegTally {
     /// Legs that were answered, failed or timed out.
+    #[serde(rename = "n")]
     pub ended: u64,
     /// Legs that failed.
+    #[serde(rename = "f")]
     pub failed: u64,
     /// Legs with a known time, by latency bucket, without trailing zeros.
+    #[serde(rename = "t")]
     pub times: Vec<u64>,
 }
 
