--- a/crates/cornelwinch_relay/src/fetch.rs
+++ b/crates/cornelwinch_relay/src/fetch.rs
@@ -199,7 +199,16 @@
         let route = self.plan.route.clone();
         self.legs.push(Box::pin(async move {
             let sent_at = Instant::now();
-            let outcome = run_leg(shared, out, route, upstream.clone(), median_leg_time).await;
+            let upstream_of_leg = upstream.clone();
+            let outcome = run_leg(
+                shared,
+                out,
+                route,
+                upstream_of_leg,
+                median_leg_time,
+                is_repeat,
+            )
+            .await;
             (upstream, sent_at, outcome)
         }));
         true
--- a/crates/cornelwinch_relay/src/leg.rs
+++ b/crates/cornelwinch_relay/src/leg.rs
@@ -126,6 +126,8 @@
     sent_at: Instant,
     median_leg_time: Duration,
     lag: LegLag,
+    route: Arc<Route>,
+    is_repeat: bool,
     reported: bool,
 }
 
@@ -134,16 +136,14 @@
         self.reported = true;
         let now = Instant::now();
         let lag = self.shared.thread_lag.end_leg(now, &self.lag);
-        let mut core = self.shared.core.borrow_mut();
-        if lag
-            > now
-                .saturating_duration_since(self.sent_at)
-                .mul_f64(MAX_LAG_RATIO)
-        {
-            core.fleet.mark_untimely(self.upstream.id, self.token);
+        let time = now.saturating_duration_since(self.sent_at);
+        let (id, is_repeat) = (self.upstream.id, self.is_repeat);
+        let fleet = &mut self.shared.core.borrow_mut().fleet;
+        if lag > time.mul_f64(MAX_LAG_RATIO) {
+            fleet.mark_untimely(id, self.token);
         }
-        core.fleet
-            .leg_ended(now, self.upstream.id, self.token, signal);
+        fleet.leg_ended(now, id, self.token, signal);
+        fleet.record_version_leg(now, id, &self.route.name, signal, time, is_repeat);
     }
 
     fn latency_ratio(&self) -> f64 {
@@ -172,6 +172,7 @@
     route: Arc<Route>,
     upstream: UpstreamEndpoint,
     median_leg_time: Duration,
+    is_repeat: bool,
 ) -> LegOutcome {
     let token = shared.next_leg_token();
     let now = Instant::now();
@@ -189,6 +190,8 @@
         sent_at: now,
         median_leg_time,
         lag: shared.thread_lag.start_leg(),
+        route: route.clone(),
+        is_repeat,
         reported: false,
     };
     let (outcome, signal) = exchange(&shared, &out, &upstream, token).await;
--- a/crates/cornelwinch_relay/src/lib.rs
+++ b/crates/cornelwinch_relay/src/lib.rs
@@ -39,6 +39,7 @@
 mod registration;
 mod relay;
 mod report;
+mod rollouts;
 mod scatter;
 mod settings;
 mod shared;
--- a/crates/cornelwinch_relay/src/operator.rs
+++ b/crates/cornelwinch_relay/src/operator.rs
@@ -60,7 +60,10 @@
     let text = match request.uri().path() {
         "/state" => state_page(shared),
         "/explain" => explain(shared, request.uri().query().unwrap_or_default()),
-        _ => shared.core.borrow().metrics.to_text(),
+        _ => {
+            let core = shared.core.borrow();
+            core.metrics.to_text() + &core.fleet.rollouts().to_metrics()
+        }
     };
     Response::new(Full::new(Bytes::from(text)))
 }
@@ -112,6 +115,8 @@
     }
     lines.extend(organisations);
     lines.extend(core.gather_limits.describe());
+    lines.extend(core.fleet.rollouts().describe(now));
+    lines.extend(shared.rollouts.describe());
     lines.extend(core.fleet.describe(now));
     lines.push(String::new());
     lines.join("\n")
--- a/crates/cornelwinch_relay/src/relay.rs
+++ b/crates/cornelwinch_relay/src/relay.rs
@@ -23,6 +23,7 @@
 use crate::marks::get_marks;
 use crate::operator::{answer_metrics, answer_readiness, serve_http};
 use crate::report::report_crashes;
+use crate::rollouts::coordinate_rollouts;
 use crate::settings::RelaySettings;
 use crate::shared::Shared;
 use crate::sync::keep_in_sync;
@@ -93,6 +94,7 @@
     if placement != PlacementMode::Latency {
         tokio::task::spawn_local(measure_lag(shared.clone()));
     }
+    tokio::task::spawn_local(coordinate_rollouts(shared.clone()));
     Ok(Relay {
         shared,
         close_idle: Rc::new(close_idle),
--- a/crates/cornelwinch_relay/src/settings.rs
+++ b/crates/cornelwinch_relay/src/settings.rs
@@ -134,6 +134,10 @@
     pub exposure_slack: f64,
     /// Time from the 50th bad answer to the last request, in milliseconds.
     pub rollback_ms: u64,
+    /// Whether orders are followed. The default is off, since reports on many orders at a time
+    /// exceed the traffic that a host may use for control.
+    #[serde(default)]
+    pub follow: bool,
 }
 
 /// Lowest level of logged events.
@@ -294,6 +298,11 @@
         )
     }
 
+    /// Returns true if orders to move a service to another version are followed.
+    pub(crate) fn follows_rollouts(&self) -> bool {
+        self.rollout.is_some_and(|rollout| rollout.follow)
+    }
+
     /// Returns the grace period between SIGTERM and SIGKILL.
     pub fn grace_period(&self) -> Duration {
         Duration::from_secs_f64(self.grace_s)
--- a/crates/cornelwinch_relay/src/shared.rs
+++ b/crates/cornelwinch_relay/src/shared.rs
@@ -15,6 +15,7 @@
 use crate::feed_message::{FeedMessage, encode};
 use crate::mirror::Mirror;
 use crate::pool::Pool;
+use crate::rollouts::Rollouts;
 use crate::store_health::StoreHealth;
 use crate::thread_lag::ThreadLag;
 use crate::{Dialect, RelaySettings};
@@ -50,6 +51,7 @@
     /// Time at which the store confirmed the host list.
     pub(crate) hosts_confirmed_at: Cell<Option<Instant>>,
     pub(crate) store_health: StoreHealth,
+    pub(crate) rollouts: Rollouts,
     /// Sends encoded messages to the hosts that this one feeds.
     pub(crate) feed: broadcast::Sender<Bytes>,
     /// Time at which this process started.
@@ -85,6 +87,7 @@
             hosts: RefCell::default(),
             hosts_confirmed_at: Cell::new(None),
             store_health: StoreHealth::default(),
+            rollouts: Rollouts::default(),
             feed: broadcast::channel(FEED_QUEUE_MESSAGES).0,
             started: Instant::now(),
             has_marks: Cell::new(false),
--- a/crates/cornelwinch_routing/src/fleet.rs
+++ b/crates/cornelwinch_routing/src/fleet.rs
@@ -2,6 +2,7 @@
 mod describe;
 mod expected;
 mod explain;
+mod reachability;
 
 pub use explain::{Candidate, Explanation};
 
@@ -14,8 +15,8 @@
 use crate::withdrawal::Withdrawal;
 use crate::work::UpstreamWork;
 use crate::{
-    ColdRateLimiter, HealthSignal, HostPermits, LegRequest, UpstreamEndpoint, UpstreamEntry,
-    UpstreamHealth, UpstreamId, UpstreamLimits, UpstreamState,
+    ColdRateLimiter, HealthSignal, HostPermits, HostRollouts, LegRequest, UpstreamEndpoint,
+    UpstreamEntry, UpstreamHealth, UpstreamId, UpstreamLimits, UpstreamState,
 };
 
 /// Score penalty of an upstream in another zone, in typical leg times. It stands for
@@ -37,9 +38,9 @@
 const MAX_REMOVED_RUNS: usize = 4_096;
 
 #[derive(Debug)]
-struct Upstream {
-    entry: UpstreamEntry,
-    health: UpstreamHealth,
+pub(crate) struct Upstream {
+    pub(crate) entry: UpstreamEntry,
+    pub(crate) health: UpstreamHealth,
     work: UpstreamWork,
     cold_until: Option<Instant>,
     cold_rate: ColdRateLimiter,
@@ -67,16 +68,17 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     last_id: u64,
-    upstreams: SortedMap<UpstreamId, Upstream>,
+    pub(crate) upstreams: SortedMap<UpstreamId, Upstream>,
     /// Current run of each registered name.
     names: SortedMap<Name, UpstreamId>,
-    services: SortedMap<Name, Vec<UpstreamId>>,
+    pub(crate) services: SortedMap<Name, Vec<UpstreamId>>,
     evacuated: Vec<Name>,
     /// Withdrawn runs without an entry, by name and start time.
     removed_runs: SortedMap<(Name, u64), RemovedRun>,
     /// Division of limits among hosts; `None` if this host is the only one.
     hosts: Option<HostPermits>,
     placement: Placement,
+    pub(crate) rollouts: HostRollouts,
 }
 
 impl Fleet {
@@ -281,7 +283,8 @@
         let ids = self.services.get(request.service)?;
         let placement = &self.placement;
         let route = placement.expected_route(request.service, request.route);
-        let mut best: Option<(bool, f64, UpstreamId)> = None;
+        let versions = self.rollouts.version_use(now, request.service);
+        let mut best: Option<((bool, bool, f64), UpstreamId)> = None;
         for id in ids {
             if tried.contains(id) {
                 continue;
@@ -294,6 +297,16 @@
             if exclusion.is_some() {
                 continue;
             }
+            let mut is_deferred = false;
+            if let Some(versions) = versions {
+                let group = self
+                    .rollouts
+                    .group(request.service, &upstream.entry.version);
+                match versions.defers(group, tried.is_empty()) {
+                    Some(deferred) => is_deferred = deferred,
+                    None => continue,
+                }
+            }
             let mut score = match route {
                 Some(route) => {
                     let query = upstream.leg_query(now, placement, route);
@@ -302,13 +315,17 @@
                 None => upstream.latency_score(now, zone, rng.f64()),
             };
             score *= upstream.failure_factor(now, placement);
-            let candidate = (upstream.health.is_lost(), score, *id);
-            if best.is_none_or(|b| (candidate.0, candidate.1) < (b.0, b.1)) {
-                best = Some(candidate);
+            let rank = (upstream.health.is_lost(), is_deferred, score);
+            if best.is_none_or(|(best, _)| rank < best) {
+                best = Some((rank, *id));
             }
         }
-        let id = best?.2;
+        let id = best?.1;
         let upstream = self.upstreams.get_mut(&id)?;
+        if versions.is_some() {
+            self.rollouts
+                .spend(request.service, &upstream.entry.version);
+        }
         if let Some(cold_per_s) = limits.cold_per_s
             && upstream.is_cold(now)
         {
@@ -326,9 +343,9 @@
     pub fn has_available_upstream(&self, now: Instant, service: &Name) -> bool {
         self.services.get(service).is_some_and(|ids| {
             ids.iter().any(|id| {
-                self.upstreams
-                    .get(id)
-                    .is_some_and(|u| u.takes_requests(now, &self.evacuated) && !u.health.is_lost())
+                self.upstreams.get(id).is_some_and(|u| {
+                    u.may_get_leg(now, &self.evacuated, &self.rollouts) && !u.health.is_lost()
+                })
             })
         })
     }
@@ -372,42 +389,7 @@
     pub fn takes_requests(&self, now: Instant, id: UpstreamId) -> bool {
         self.upstreams
             .get(&id)
-            .is_some_and(|u| u.takes_requests(now, &self.evacuated))
-    }
-
-    /// Returns the lost upstreams whose probe is due, and schedules their next one.
-    pub fn take_due_probes(&mut self, now: Instant) -> Vec<UpstreamEndpoint> {
-        let evacuated = &self.evacuated;
-        let due = self.upstreams.iter_mut().filter_map(|(id, upstream)| {
-            let is_due =
-                upstream.takes_requests(now, evacuated) && upstream.health.take_due_probe(now);
-            is_due.then(|| UpstreamEndpoint {
-                id: *id,
-                name: upstream.entry.name.clone(),
-                addr: upstream.entry.addr,
-            })
-        });
-        due.collect()
-    }
-
-    /// Records that a lost upstream accepts connections.
-    pub fn mark_reachable(&mut self, id: UpstreamId) {
-        if let Some(upstream) = self.upstreams.get_mut(&id) {
-            upstream.health.mark_reachable();
-        }
-    }
-
-    /// Reports whether this host's zone is cut off: at least one upstream of another zone is
-    /// lost, and so are all of them that were used recently.
-    pub fn is_isolated(&self, now: Instant, zone: &Name) -> bool {
-        let mut used = self
-            .upstreams
-            .values()
-            .filter(|u| {
-                u.entry.zone != *zone && (u.health.is_lost() || u.health.was_used_recently(now))
-            })
-            .peekable();
-        used.peek().is_some() && used.all(|u| u.health.is_lost())
+            .is_some_and(|u| u.may_get_leg(now, &self.evacuated, &self.rollouts))
     }
 
     /// Records that a leg was sent; `typical` is the typical time of such a leg.
@@ -463,6 +445,13 @@
         }
     }
 
+    /// Reports whether the upstream takes requests and its version may be used.
+    fn may_get_leg(&self, now: Instant, evacuated: &[Name], rollouts: &HostRollouts) -> bool {
+        self.takes_requests(now, evacuated)
+            && (rollouts.is_empty()
+                || rollouts.is_allowed(now, &self.entry.service, &self.entry.version))
+    }
+
     fn takes_requests(&self, now: Instant, evacuated: &[Name]) -> bool {
         self.entry.state == UpstreamState::Ready
             && !self.is_displaced
@@ -486,7 +475,7 @@
         }
     }
 
-    fn is_cold(&self, now: Instant) -> bool {
+    pub(crate) fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.is_some_and(|until| now < until)
     }
 }
--- a/crates/cornelwinch_routing/src/lib.rs
+++ b/crates/cornelwinch_routing/src/lib.rs
@@ -22,6 +22,7 @@
 mod permits;
 mod placement;
 mod return_schedule;
+mod rollout;
 mod round_robin;
 mod sources;
 mod sync_timing;
@@ -51,6 +52,11 @@
 pub use permits::HostPermits;
 pub use placement::{LegRequest, PlacementMode};
 pub use return_schedule::ReturnSchedule;
+pub use rollout::{
+    Evidence, Finding, HostRollout, HostRollouts, LegTally, RolloutDecider, RolloutLimits,
+    RolloutOrder, RolloutPhase, RolloutState, RolloutStatus, RouteTally, VersionGroup,
+    VersionReport, VersionStage,
+};
 pub use round_robin::WeightedRoundRobin;
 pub use sources::{HostEntry, source_count, source_order};
 pub use sync_timing::{StoreProbe, SyncTiming};
