routing, relay: caps refill what a window allows, tokens go to requests that can meet their goal

Change: buckets and stocks refill rate + burst / window, and hold what the rule leaves beside it; a new process delegates at once, since a coordinator counts one delegation for each host; while an organisation is refused, requests that cannot meet the goal of their route any more leave the tokens to those that can. A host that restarts while the coordinator of its earlier process lives on but is out of its reach may be counted twice for at most 1.5 s.

--- a/crates/cornelwinch_relay/src/caps.rs
+++ b/crates/cornelwinch_relay/src/caps.rs
@@ -180,11 +180,12 @@
     }
 
     /// Admits a request under the cap of its organisation. Returns the time after which the caller
-    /// may return if the request is refused.
+    /// may return if the request is refused. `left` is the time that the caller still waits.
     pub(crate) async fn admit(
         &self,
         sender: &Sender,
         route: &Route,
+        left: Option<Duration>,
     ) -> Result<Option<Admission>, Duration> {
         let Sender::Organisation(organisation) = sender else {
             return Ok(None);
@@ -194,7 +195,13 @@
             return Ok(None);
         }
         let now = Instant::now();
-        let decision = self.core.borrow_mut().caps.stock.try_admit(now, name);
+        let (decision, is_timely) = {
+            let core = &mut *self.core.borrow_mut();
+            let typical = core.median_leg_time(route);
+            let is_timely =
+                left.is_none_or(|left| core.time_budgets.can_meet_goal(now, route, left, typical));
+            (core.caps.stock.try_admit(now, name, is_timely), is_timely)
+        };
         let result = match decision {
             CapDecision::Admitted(token) => Ok(token),
             CapDecision::Refused(wait) => Err(wait),
@@ -208,6 +215,9 @@
             Err(wait) => {
                 let mut core = self.core.borrow_mut();
                 core.caps.record_refusal(Instant::now(), name);
+                if is_timely {
+                    core.caps.stock.record_refusal(Instant::now(), name);
+                }
                 Err(wait)
             }
         }
--- a/crates/cornelwinch_relay/src/core.rs
+++ b/crates/cornelwinch_relay/src/core.rs
@@ -2,7 +2,7 @@
 
 use cornelwinch_routing::{
     CrashTracker, Fleet, GatherPlan, HostPermits, HostShares, IndexKey, OrganisationTable,
-    RetryBudget, Route, RouteTable, Service, Target, UpstreamId, UpstreamLimits,
+    RetryBudget, Route, RouteTable, Service, Target, TimeBudgets, UpstreamId, UpstreamLimits,
     WeightedRoundRobin,
 };
 use cornelwinch_types::{Name, SortedMap};
@@ -71,6 +71,7 @@
     pub(crate) rng: fastrand::Rng,
     split_round_robins: SortedMap<Name, WeightedRoundRobin>,
     pub(crate) gather_limits: GatherLimits,
+    pub(crate) time_budgets: TimeBudgets,
     /// Estimated median leg time by route name.
     median_leg_time: SortedMap<Name, Duration>,
 }
@@ -95,6 +96,7 @@
             rng: fastrand::Rng::new(),
             split_round_robins: SortedMap::new(),
             gather_limits: GatherLimits::default(),
+            time_budgets: TimeBudgets::default(),
             median_leg_time: SortedMap::new(),
         }
     }
--- a/crates/cornelwinch_relay/src/handle.rs
+++ b/crates/cornelwinch_relay/src/handle.rs
@@ -113,23 +113,26 @@
         Ok(Sender::Organisation(organisation)) => Some(organisation.name.clone()),
         _ => None,
     };
+    let left = millis(request.headers(), &shared.dialect.headers.deadline_ms);
     let reply = match (&table, &route, sender) {
         (Some(_), Some(Ok(_)), Err(reason)) => Reply::rejected(StatusCode::UNAUTHORIZED, reason),
         (Some(_), Some(Ok(route)), Ok(_)) if stops_before_goal(&shared, route, start) => {
             Reply::not_run("stopping")
         }
-        (Some(table), Some(Ok(route)), Ok(sender)) => match shared.admit(&sender, route).await {
-            Ok(admission) => {
-                let reply = tokio::select! {
-                    biased;
-                    reply = answer(&shared, table, route.clone(), sender, request, start) => reply,
-                    () = shared.stop_due() => Reply::timed_out("stopping"),
-                };
-                shared.end_admission(admission, reply.outcome);
-                reply
+        (Some(table), Some(Ok(route)), Ok(sender)) => {
+            match shared.admit(&sender, route, left).await {
+                Ok(admission) => {
+                    let reply = tokio::select! {
+                        biased;
+                        reply = answer(&shared, table, route.clone(), sender, request, start) => reply,
+                        () = shared.stop_due() => Reply::timed_out("stopping"),
+                    };
+                    shared.end_admission(admission, reply.outcome);
+                    reply
+                }
+                Err(wait) => Reply::over_cap(wait),
             }
-            Err(wait) => Reply::over_cap(wait),
-        },
+        }
         (_, Some(Err(reason)), _) => Reply::rejected(StatusCode::NOT_FOUND, reason),
         _ => Reply::not_run("no_configuration"),
     };
--- a/crates/cornelwinch_relay/src/store_health.rs
+++ b/crates/cornelwinch_relay/src/store_health.rs
@@ -4,6 +4,7 @@
 use tokio::sync::Notify;
 
 use crate::dialect::ObjectKind;
+use crate::feed_message::FED_KINDS;
 
 /// Time after a store outage within which upstreams register again.
 const REREGISTRATION_TIME: Duration = Duration::from_millis(2_300);
@@ -11,9 +12,6 @@
 /// Shortest store outage during which registrations may have expired.
 const MIN_OUTAGE: Duration = Duration::from_millis(700);
 
-/// Number of object kinds.
-const KINDS: usize = ObjectKind::Hosts as usize + 1;
-
 /// Health of the store, derived from the results of this host's calls.
 #[derive(Debug, Default)]
 pub(crate) struct StoreHealth {
@@ -21,7 +19,7 @@
     recovered_at: Cell<Option<Instant>>,
     last_answer: Cell<Option<Instant>>,
     /// Time since which a kind has to be listed, by kind.
-    unlisted_since: [Cell<Option<Instant>>; KINDS],
+    unlisted_since: [Cell<Option<Instant>>; FED_KINDS.len()],
     /// Notified when a probe finds that the store cannot be reached.
     lost: Notify,
 }
--- a/crates/cornelwinch_routing/src/cap.rs
+++ b/crates/cornelwinch_routing/src/cap.rs
@@ -42,11 +42,23 @@
         (refill + cap.burst) * (1.0 + self.overshoot) + self.slack
     }
 
+    /// Returns the number of tokens that come into being in a second: those of a window, its burst
+    /// included, spread over the window. Callers are entitled to these in any window, and a lower
+    /// rate would refuse some of them below the cap.
+    pub(crate) fn refill_per_s(&self, cap: &Cap) -> f64 {
+        let seconds = self.window.as_secs_f64();
+        if seconds > 0.0 {
+            cap.rate_per_s + cap.burst / seconds
+        } else {
+            cap.rate_per_s
+        }
+    }
+
     /// Returns the number of tokens that buckets and stocks of all hosts may hold together: what
     /// the rule leaves beside the refill of a window and of the tokens on their way.
     fn stored(&self, cap: &Cap) -> f64 {
         let seconds = self.window.as_secs_f64() + TOKEN_TIME.as_secs_f64();
-        (self.allowed(cap) - cap.rate_per_s * seconds - 1.0).max(1.0)
+        (self.allowed(cap) - self.refill_per_s(cap) * seconds - 1.0).max(1.0)
     }
 
     /// Returns the part of the stored tokens that the buckets of coordinators may hold.
--- a/crates/cornelwinch_routing/src/cap_pool.rs
+++ b/crates/cornelwinch_routing/src/cap_pool.rs
@@ -11,7 +11,8 @@
 
 #[derive(Debug)]
 struct Bucket {
-    cap: Cap,
+    /// Tokens that come into being in a second if all hosts have delegated.
+    refill_per_s: f64,
     /// Largest number of tokens if all hosts have delegated.
     size: f64,
     tokens: f64,
@@ -76,14 +77,14 @@
         retain_names(&mut self.buckets, &caps);
         for (name, cap) in caps {
             let bucket = self.buckets.get_or_insert_with(name.clone(), || Bucket {
-                cap: *cap,
+                refill_per_s: 0.0,
                 size: 0.0,
                 tokens: 0.0,
                 filled_to: self.refill_time,
                 next_ask: now,
             });
             bucket.fill(self.refill_time, self.weight);
-            bucket.cap = *cap;
+            bucket.refill_per_s = rule.refill_per_s(cap);
             bucket.size = rule.pooled(cap);
             bucket.fill(self.refill_time, self.weight);
         }
@@ -221,7 +222,7 @@
 
 impl Bucket {
     fn fill(&mut self, refill_time: f64, weight: f64) {
-        let filled = self.tokens + self.cap.rate_per_s * (refill_time - self.filled_to);
+        let filled = self.tokens + self.refill_per_s * (refill_time - self.filled_to);
         self.tokens = filled.min(self.size * weight);
         self.filled_to = refill_time;
     }
@@ -229,7 +230,7 @@
     /// Returns the time after which a host without a token asks again. Hosts get different times,
     /// one for each token of the refill, so that they don't ask all at once for the same token.
     fn next_wait(&mut self, now: Instant, weight: f64) -> Duration {
-        let per_s = self.cap.rate_per_s * weight;
+        let per_s = self.refill_per_s * weight;
         let time = |tokens: f64| {
             let time = Duration::try_from_secs_f64(tokens / per_s).unwrap_or(MAX_WAIT);
             time.min(MAX_WAIT)
--- a/crates/cornelwinch_routing/src/cap_stock.rs
+++ b/crates/cornelwinch_routing/src/cap_stock.rs
@@ -6,8 +6,9 @@
 use crate::cap::{CLOCK_DRIFT_FACTOR, DELEGATION_TIME, TOKEN_TIME, retain_names};
 use crate::{Cap, CapGrant, CapReport, CapRule};
 
-/// Time after the start of a process during which it does not refill and delegates nothing. A
-/// delegation of its predecessor, of 1.5 s, ends within it. It still gets tokens of the coordinator.
+/// Time after the start of a process during which it does not refill its own share, since its
+/// predecessor may have delegated it. It delegates at once: a coordinator counts one delegation for
+/// each host, and otherwise a restart of all hosts would leave all callers without tokens.
 const START_TIME: Duration = Duration::from_secs(2);
 
 /// Time constant of the demand that is estimated for an organisation.
@@ -28,6 +29,10 @@
     end: Instant,
 }
 
+/// Time after a refusal for which tokens count as short. A host sees an organisation that is far
+/// above its cap several times within it.
+const SHORTAGE_TIME: Duration = Duration::from_secs(1);
+
 /// Decision on a request of an organisation with a cap.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum CapDecision {
@@ -42,6 +47,10 @@
 #[derive(Debug)]
 struct Entry {
     cap: Cap,
+    /// Tokens that come into being in a second on all hosts together.
+    refill_per_s: f64,
+    /// Time of the last refusal of a request that could still meet its goal.
+    refused_at: Option<Instant>,
     /// Stored tokens.
     stock: f64,
     /// Largest number of stored tokens.
@@ -94,7 +103,7 @@
             rule,
             hosts: 1,
             own_from: now + START_TIME,
-            delegate_from: now + START_TIME,
+            delegate_from: now,
             refill_time: 0.0,
             filled_at: now,
             is_connected: false,
@@ -121,6 +130,8 @@
         for (name, cap) in caps {
             let entry = self.entries.get_or_insert_with(name.clone(), || Entry {
                 cap: *cap,
+                refill_per_s: 0.0,
+                refused_at: None,
                 stock: 0.0,
                 limit: 0.0,
                 filled_to: self.refill_time,
@@ -134,6 +145,7 @@
             });
             entry.fill(self.refill_time, self.hosts);
             entry.cap = *cap;
+            entry.refill_per_s = rule.refill_per_s(cap);
         }
         self.limit_stocks(self.own_from > now);
     }
@@ -148,8 +160,10 @@
         !self.entries.is_empty()
     }
 
-    /// Decides on a request of an organisation and counts it as demand.
-    pub fn try_admit(&mut self, now: Instant, organisation: &str) -> CapDecision {
+    /// Decides on a request of an organisation and counts it as demand. `is_timely` tells whether
+    /// an answer could still meet the goal of its route. While tokens are short, those that could
+    /// not leave them to others, to whom an answer is worth more.
+    pub fn try_admit(&mut self, now: Instant, organisation: &str, is_timely: bool) -> CapDecision {
         let hosts = self.hosts;
         self.advance(now);
         let (refill_time, own_from) = (self.refill_time, self.own_from);
@@ -159,6 +173,9 @@
         };
         entry.fill(refill_time, hosts);
         entry.count_demand(now);
+        if !is_timely && entry.is_short(now) {
+            return CapDecision::Refused(UNKNOWN_WAIT);
+        }
         if let Some(token) = entry.take(now) {
             entry.mark(organisation, &mut self.dirty);
             return CapDecision::Admitted(token);
@@ -169,7 +186,7 @@
         let wait = match entry.ask_at.filter(|at| is_connected && *at > now) {
             Some(at) => at - now,
             None => {
-                let missing = (1.0 - entry.stock) * hosts as f64 / entry.cap.rate_per_s;
+                let missing = (1.0 - entry.stock) * hosts as f64 / entry.refill_per_s;
                 let refill = Duration::try_from_secs_f64(missing).unwrap_or(Duration::MAX);
                 let start = own_from.saturating_duration_since(now);
                 start.saturating_add(refill).max(UNKNOWN_WAIT)
@@ -178,6 +195,13 @@
         CapDecision::Refused(wait)
     }
 
+    /// Records that a request that could meet its goal was refused.
+    pub fn record_refusal(&mut self, now: Instant, organisation: &str) {
+        if let Some(entry) = self.entries.get_mut(organisation) {
+            entry.refused_at = Some(now);
+        }
+    }
+
     /// Records that a request starts to wait for a token.
     pub fn start_wait(&mut self, organisation: &str) {
         let Some(entry) = self.entries.get_mut(organisation) else {
@@ -365,7 +389,7 @@
 
 impl Entry {
     fn fill(&mut self, refill_time: f64, hosts: usize) {
-        let refill = self.cap.rate_per_s / hosts as f64 * (refill_time - self.filled_to);
+        let refill = self.refill_per_s / hosts as f64 * (refill_time - self.filled_to);
         self.stock = (self.stock + refill).min(self.limit.max(self.stock));
         self.filled_to = refill_time;
     }
@@ -388,6 +412,12 @@
         }
     }
 
+    /// Reports whether a request that could meet its goal was refused of late.
+    fn is_short(&self, now: Instant) -> bool {
+        self.refused_at
+            .is_some_and(|at| now.saturating_duration_since(at) < SHORTAGE_TIME)
+    }
+
     /// Returns the number of waiting requests for which there is no token.
     fn lacking(&self) -> u32 {
         let held = self.stock as usize + self.loose.len();
--- a/crates/cornelwinch_routing/tests/cap_bound.rs
+++ b/crates/cornelwinch_routing/tests/cap_bound.rs
@@ -221,7 +221,7 @@
     fn request(&mut self, host: usize) {
         let now = self.time(host);
         self.counts.requests += 1;
-        match self.hosts[host].stock.try_admit(now, &self.name) {
+        match self.hosts[host].stock.try_admit(now, &self.name, true) {
             CapDecision::Admitted(token) => self.admit(host, token),
             CapDecision::Refused(_) => self.counts.refused += 1,
             CapDecision::Ask => {
@@ -411,7 +411,7 @@
     let at = |ms| start + Duration::from_millis(ms);
     let mut stock = CapStock::new(start, RULE);
     stock.set_caps(start, RULE, 1, [(&name, &cap)].into_iter());
-    let mut admit = |ms, delay| match stock.try_admit(at(ms), &name) {
+    let mut admit = |ms, delay| match stock.try_admit(at(ms), &name, true) {
         CapDecision::Admitted(token) => {
             stock.give_back(at(ms + delay), &name, token);
             true
