routing, relay: order requests by goal, priority and organisation while a gather limit binds

Cause: the limit on gathered requests refused whoever came when it was taken, so that urgent requests were refused as often as others and an organisation at seven times its usual load took the capacity of the others.

Change: AdmissionOrder decides who gets the capacity that GatherLimit leaves. It estimates the starts per second at the present limit, plans 0.7 of them, and gives them to levels (can still meet the goal, then priority) by recent demand, inside a level to organisations in proportion to their usual demand. Each level and organisation keeps a minimum. It is in use only where the settings have bounds.cap or the desired state has organisations; otherwise GatherLimit::try_start runs as before. The simulation gets classes of callers; its results with one class are unchanged.

Usual load, and callers of one class: no difference in any count.

--- a/crates/cornelwinch_relay/src/handle.rs
+++ b/crates/cornelwinch_relay/src/handle.rs
@@ -248,6 +248,7 @@
     let mut headers = head.headers;
     strip_hop_by_hop(&mut headers);
     sender.replace_key(&shared.dialect, &mut headers);
+    let caller = sender.caller(&route);
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let Ok(uri) = path.parse() else {
         return Reply::rejected(StatusCode::BAD_REQUEST, "path");
@@ -292,7 +293,7 @@
         }
         Target::Gather(plan) => {
             let plan = plan.clone();
-            answer_scatter(shared, out, route, plan, fingerprint).await
+            answer_scatter(shared, out, route, plan, fingerprint, caller).await
         }
     }
 }
--- a/crates/cornelwinch_relay/src/keys.rs
+++ b/crates/cornelwinch_relay/src/keys.rs
@@ -3,7 +3,9 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use cornelwinch_routing::{DesiredState, IndexKey, OrganisationProfile, OrganisationTable, Route};
+use cornelwinch_routing::{
+    Caller, DesiredState, IndexKey, OrganisationProfile, OrganisationTable, Route,
+};
 use hyper::HeaderMap;
 use hyper::header::HeaderValue;
 
@@ -56,6 +58,21 @@
         }
     }
 
+    /// Returns what the order of admission knows of the sender of a first attempt.
+    pub(crate) fn caller(&self, route: &Route) -> Caller {
+        let organisation = match self {
+            Self::Organisation(organisation) => Some(organisation),
+            Self::NoKeys | Self::Anonymous => None,
+        };
+        Caller {
+            organisation: organisation.map(|organisation| organisation.name.clone()),
+            priority: organisation
+                .and_then(|organisation| organisation.priority)
+                .unwrap_or(route.priority),
+            can_meet_goal: true,
+        }
+    }
+
     /// Removes the key from the headers for upstreams and sets the name of the organisation.
     pub(crate) fn replace_key(&self, dialect: &Dialect, headers: &mut HeaderMap) {
         let names = &dialect.headers;
--- a/crates/cornelwinch_relay/src/metrics.rs
+++ b/crates/cornelwinch_relay/src/metrics.rs
@@ -63,12 +63,17 @@
 /// series takes about 25 KB.
 const ORGANISATION_LIMIT: usize = 96;
 
+/// Number of priorities with a counter of their own. Less urgent ones share the last.
+const PRIORITY_LIMIT: usize = 8;
+
 /// Counters and histograms of a relay.
 #[derive(Debug, Default)]
 pub(crate) struct Metrics {
     routes: SortedMap<Name, RouteSeries>,
     /// By organisation, with the reason for outcomes other than `served`.
     organisations: SortedMap<Name, RouteSeries>,
+    /// Gathered requests refused for lack of capacity where they are ordered, by priority.
+    refused_gathers: [u64; PRIORITY_LIMIT],
     pub(crate) legs: u64,
     pub(crate) repeats: u64,
     pub(crate) repeats_denied: u64,
@@ -100,6 +105,11 @@
         series.record(latency, outcome);
     }
 
+    /// Records that a gathered request was refused for lack of capacity.
+    pub(crate) fn record_refused_gather(&mut self, priority: u32) {
+        self.refused_gathers[(priority as usize).min(PRIORITY_LIMIT - 1)] += 1;
+    }
+
     /// Formats all metrics as text, one value per line.
     pub(crate) fn to_text(&self) -> String {
         let mut text = String::new();
@@ -116,6 +126,16 @@
         for (name, value) in counters {
             push_line(&mut text, format_args!("cornelwinch_{name} {value}"));
         }
+        for (priority, count) in self.refused_gathers.iter().enumerate() {
+            if *count > 0 {
+                push_line(
+                    &mut text,
+                    format_args!(
+                        "cornelwinch_gathers_refused_total{{priority=\"{priority}\"}} {count}"
+                    ),
+                );
+            }
+        }
         for (route, series) in self.routes.iter() {
             series.push_lines(&mut text, "", "route", route);
         }
--- a/crates/cornelwinch_relay/src/scatter.rs
+++ b/crates/cornelwinch_relay/src/scatter.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use cornelwinch_routing::{GatherOutcome, GatherPlan, RequestFingerprint, Route, TopKMerge};
+use cornelwinch_routing::{
+    Caller, GatherOutcome, GatherPlan, RequestFingerprint, Route, TopKMerge,
+};
 use cornelwinch_types::Name;
 use futures_util::StreamExt;
 use futures_util::future::LocalBoxFuture;
@@ -51,6 +53,7 @@
     route: Arc<Route>,
     plan: GatherPlan,
     fingerprint: RequestFingerprint,
+    caller: Caller,
 ) -> Reply {
     let arrived = Instant::now();
     for shard in &plan.shards {
@@ -63,18 +66,14 @@
     }
     let mut shards = plan.shards.clone();
     shards.sort_unstable();
-    let may_start = {
-        let mut core = shared.core.borrow_mut();
-        let hosts = core.host_count();
-        core.gather_limits.start(&shards, hosts, arrived)
-    };
-    if !may_start {
+    if !try_start(&shared, &shards, &out, &route, caller, arrived) {
         let time = return_time(&shared, &shards, &out);
         return Reply::not_run_for("overloaded", time);
     }
     let mut guard = GatherGuard {
         shared: shared.clone(),
         shards,
+        arrived,
         end: GatherOutcome::Other,
     };
     let hedge_after = hedge_after(&shared, &route, HEDGE_GOAL_RATIO);
@@ -118,6 +117,37 @@
     progress.finish(&shared, &guard.shards, &out, false)
 }
 
+/// Starts a request if the limit on gathered requests to its shards allows it. Requests are ordered
+/// by priority and organisation only where the settings have bounds of caps, or the desired state
+/// has organisations.
+fn try_start(
+    shared: &Shared,
+    shards: &[Name],
+    out: &OutgoingRequest,
+    route: &Route,
+    mut caller: Caller,
+    now: Instant,
+) -> bool {
+    let has_cap_bounds = shared.settings.borrow().bounds.cap.is_some();
+    let mut core = shared.core.borrow_mut();
+    let hosts = core.host_count();
+    if !has_cap_bounds && core.organisations.is_none() {
+        return core.gather_limits.start(shards, hosts, now, None);
+    }
+    let left = out.deadline.saturating_duration_since(now);
+    let typical = core.median_leg_time(route);
+    let budgets = &mut core.gather_limits.time_budgets;
+    caller.can_meet_goal = budgets.can_meet_goal(now, route, left, typical);
+    let draw = core.rng.f64();
+    let may_start = core
+        .gather_limits
+        .start(shards, hosts, now, Some((&caller, draw)));
+    if !may_start {
+        core.metrics.record_refused_gather(caller.priority);
+    }
+    may_start
+}
+
 /// Returns the time after which the caller of a request that did not run returns.
 fn return_time(shared: &Shared, shards: &[Name], out: &OutgoingRequest) -> Duration {
     let now = Instant::now();
@@ -133,14 +163,16 @@
 struct GatherGuard {
     shared: Rc<Shared>,
     shards: Vec<Name>,
+    arrived: Instant,
     end: GatherOutcome,
 }
 
 impl Drop for GatherGuard {
     fn drop(&mut self) {
         let mut core = self.shared.core.borrow_mut();
-        core.gather_limits
-            .end(&self.shards, Instant::now(), self.end);
+        let now = Instant::now();
+        let time = now.saturating_duration_since(self.arrived);
+        core.gather_limits.end(&self.shards, now, time, self.end);
     }
 }
 
--- a/crates/cornelwinch_routing/src/lib.rs
+++ b/crates/cornelwinch_routing/src/lib.rs
@@ -3,6 +3,7 @@
 //! partial answers.
 
 mod absent_hosts;
+mod admission_order;
 mod budget;
 mod cap;
 mod cap_pool;
@@ -33,6 +34,7 @@
 mod work;
 
 pub use absent_hosts::AbsentHosts;
+pub use admission_order::{AdmissionOrder, AdmissionTurn, Caller};
 pub use budget::{RepeatKind, RetryBudget, RetryBudgetConfig, RetryBudgetUsage};
 pub use cap::{CapGrant, CapReport, CapRule};
 pub use cap_pool::CapPool;
--- a/crates/cornelwinch_routing/src/overload.rs
+++ b/crates/cornelwinch_routing/src/overload.rs
@@ -1,6 +1,8 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use crate::{AdmissionOrder, AdmissionTurn, Caller};
+
 /// Factor of a multiplicative decrease of the limit when upstreams are overloaded.
 const DECREASE_FACTOR: f64 = 0.8;
 
@@ -35,6 +37,10 @@
 /// budget of a gathered request and its repeat by the caller.
 const LIMIT_TTL: Duration = Duration::from_millis(1_200);
 
+/// Factor of the limit for requests that precede others. Their sum is within the limit, but at the
+/// limit itself many of them would find it taken by a request that came a little earlier.
+const FIRST_LIMIT_FACTOR: f64 = 2.0;
+
 /// Result of a gathered request with regard to upstream overload.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum GatherOutcome {
@@ -81,11 +87,43 @@
     /// Counts a request if it may start, and reports whether it may.
     pub fn try_start(&mut self, now: Instant) -> bool {
         self.expire(now);
+        self.start_if_free(now, 1.0)
+    }
+
+    /// Counts a request if it may start, and reports whether it may. While the limit is in force,
+    /// the order decides who gets its capacity; `draw` is a random number from 0 to 1.
+    pub fn try_start_in_order(
+        &mut self,
+        now: Instant,
+        order: &mut AdmissionOrder,
+        caller: &Caller,
+        draw: f64,
+    ) -> bool {
+        self.expire(now);
+        order.record_arrival(now, caller);
+        let turn = match self.overload {
+            None => AdmissionTurn::Any,
+            Some(Overload { limit, .. }) => order.turn(now, caller, limit, draw),
+        };
+        let may_start = match turn {
+            AdmissionTurn::Any => self.start_if_free(now, 1.0),
+            AdmissionTurn::First => self.start_if_free(now, FIRST_LIMIT_FACTOR),
+            AdmissionTurn::Wait => false,
+        };
+        if may_start {
+            order.record_start(now);
+        }
+        may_start
+    }
+
+    /// Counts a request if it may start at the limit times `factor`, and reports whether it may.
+    fn start_if_free(&mut self, now: Instant, factor: f64) -> bool {
         let taken = (self.in_progress + self.delayed_releases.len()) as f64;
-        let may_start = match self.overload {
+        let limit = self.overload.map(|overload| overload.limit * factor);
+        let may_start = match limit {
             None => true,
-            Some(Overload { limit, .. }) if limit >= 1.0 => taken < limit,
-            Some(Overload { limit, .. }) => {
+            Some(limit) if limit >= 1.0 => taken < limit,
+            Some(limit) => {
                 taken < 1.0
                     && self
                         .last_start
--- a/crates/cornelwinch_routing/tests/overload_fleet.rs
+++ b/crates/cornelwinch_routing/tests/overload_fleet.rs
@@ -4,7 +4,9 @@
 mod plant;
 
 use plant::admission::Version;
-use plant::{Pattern, Tally, play};
+use plant::mix::{CLASSES, Mix};
+use plant::tally::Tally;
+use plant::{Pattern, play};
 
 const BASE: Pattern = Pattern {
     hosts: 29,
@@ -14,9 +16,21 @@
     down: 0.0,
     slow: 0.0,
     repeats: 1,
+    mix: Mix::Uniform,
     seed: 1,
 };
 
+/// Callers of two priorities, whose sum is far above what the upstreams run in the burst.
+const MIXED: Pattern = Pattern {
+    shards: 36,
+    rate: 100.0,
+    burst: 2.5,
+    down: 0.25,
+    slow: 0.3,
+    mix: Mix::Priorities,
+    ..BASE
+};
+
 /// Plays a pattern with each version and some seeds, and prints what the requests were worth.
 fn compare(what: &str, pattern: Pattern) -> [Tally; 2] {
     let tallies = [Version::Previous, Version::Current].map(|version| {
@@ -115,3 +129,83 @@
     };
     assert_gain("many hosts", pattern, 2.0);
 }
+
+/// Plays a pattern with the limit alone and with the order of admission, and prints the value of
+/// the requests of class 0, of the others and of all.
+fn compare_order(what: &str, pattern: Pattern) -> [Tally; 2] {
+    let tallies = [Version::Current, Version::Ordered].map(|version| {
+        let mut all = Tally::default();
+        for seed in 1..=6 {
+            all.add(play(version, Pattern { seed, ..pattern }));
+        }
+        all
+    });
+    for (version, tally) in ["before", "now"].iter().zip(&tallies) {
+        let [first, others] = [tally.sum(..1), tally.sum(1..)].map(|counts| counts.value());
+        let all = tally.value();
+        println!("{what}, {version}: class 0 {first:.3}, others {others:.3}, all {all:.3}");
+    }
+    tallies
+}
+
+/// Guards against urgent requests that are refused like others, and against an order that costs
+/// more than it moves or starves the less urgent ones.
+#[test]
+fn urgent_first() {
+    let burst = Pattern {
+        burst: 6.0,
+        down: 0.0,
+        slow: 0.0,
+        ..MIXED
+    };
+    let storm = Pattern {
+        burst: 3.0,
+        repeats: 5,
+        ..MIXED
+    };
+    for (what, pattern) in [("crashed", MIXED), ("burst", burst), ("storm", storm)] {
+        let [before, now] = compare_order(what, pattern);
+        let gain = now.sum(..1).value() - before.sum(..1).value();
+        assert!(gain > 0.05, "{what}: {gain:.3}");
+        assert!(now.sum(..1).value() > now.sum(1..2).value(), "{what}");
+        assert!(now.sum(1..2).value() > 0.25 * now.value(), "{what}");
+        assert!(now.value() > before.value() - 0.03, "{what}");
+    }
+}
+
+/// Guards against an organisation at seven times its usual load that displaces the others.
+#[test]
+fn large_organisation() {
+    let pattern = Pattern {
+        burst: 1.0,
+        mix: Mix::Organisations,
+        ..MIXED
+    };
+    let [before, now] = compare_order("large organisation", pattern);
+    assert!(now.sum(1..).value() > before.sum(1..).value() + 0.01);
+    assert!(now.sum(..1).value() < now.sum(1..).value());
+    for class in 1..CLASSES {
+        let value = now.classes[class].value();
+        assert!(value > 0.25 * now.value(), "{class}: {value:.3}");
+    }
+}
+
+/// Guards against an order that changes anything while there is capacity for all, or where all
+/// callers are alike.
+#[test]
+fn order_without_shortage_or_difference() {
+    let calm = Pattern {
+        burst: 1.0,
+        down: 0.0,
+        slow: 0.0,
+        ..MIXED
+    };
+    let uniform = Pattern {
+        mix: Mix::Uniform,
+        ..MIXED
+    };
+    for (what, pattern) in [("calm", calm), ("uniform", uniform)] {
+        let [before, now] = compare_order(what, pattern);
+        assert_eq!(before.classes, now.classes, "{what}");
+    }
+}
--- a/crates/cornelwinch_routing/tests/plant/admission.rs
+++ b/crates/cornelwinch_routing/tests/plant/admission.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use cornelwinch_routing::{GatherLimit, GatherOutcome, ReturnSchedule};
+use cornelwinch_routing::{AdmissionOrder, Caller, GatherLimit, GatherOutcome, ReturnSchedule};
 
 /// Why a request failed, the strongest reason last.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -19,6 +19,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Version {
     Current,
+    /// As `Current`, and while the limit binds, requests start in the order of admission.
+    Ordered,
     /// The limit falls only when legs are refused, to three requests on each host, and every
     /// refused caller returns after the same time.
     Previous,
@@ -29,6 +31,7 @@
     Current {
         limit: GatherLimit,
         returns: ReturnSchedule,
+        order: Option<(AdmissionOrder, fastrand::Rng)>,
     },
     Previous(PreviousLimit),
 }
@@ -36,27 +39,45 @@
 impl Admission {
     pub(crate) fn new(version: Version, hosts: usize) -> Self {
         match version {
-            Version::Current => {
+            Version::Current | Version::Ordered => {
                 let mut limit = GatherLimit::default();
                 limit.set_hosts(hosts);
                 let returns = ReturnSchedule::default();
-                Self::Current { limit, returns }
+                let order = (version == Version::Ordered)
+                    .then(|| (AdmissionOrder::default(), fastrand::Rng::with_seed(1)));
+                Self::Current {
+                    limit,
+                    returns,
+                    order,
+                }
             }
             Version::Previous => Self::Previous(PreviousLimit::default()),
         }
     }
 
-    pub(crate) fn try_start(&mut self, now: Instant) -> bool {
+    pub(crate) fn try_start(&mut self, now: Instant, caller: &Caller) -> bool {
         match self {
+            Self::Current {
+                limit,
+                order: Some((order, rng)),
+                ..
+            } => limit.try_start_in_order(now, order, caller, rng.f64()),
             Self::Current { limit, .. } => limit.try_start(now),
             Self::Previous(limit) => limit.try_start(now),
         }
     }
 
-    /// Records the end of a request that was started; `None` if it was answered.
-    pub(crate) fn finish(&mut self, now: Instant, failure: Option<Failure>) {
+    /// Records the end of a request that was in progress for `time`; `None` if it was answered.
+    pub(crate) fn finish(&mut self, now: Instant, time: Duration, failure: Option<Failure>) {
         match self {
-            Self::Current { limit, returns } => {
+            Self::Current {
+                limit,
+                returns,
+                order,
+            } => {
+                if let Some((order, _)) = order {
+                    order.record_end(time);
+                }
                 if failure.is_none() {
                     returns.record_answer(now);
                 }
--- a/crates/cornelwinch_routing/tests/plant/mod.rs
+++ b/crates/cornelwinch_routing/tests/plant/mod.rs
@@ -2,6 +2,8 @@
 //! upstreams are down or slow. Time passes in steps of one millisecond.
 
 pub(crate) mod admission;
+pub(crate) mod mix;
+pub(crate) mod tally;
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -12,6 +14,8 @@
 use cornelwinch_types::Name;
 
 use self::admission::{Admission, Failure, Version};
+use self::mix::Mix;
+use self::tally::Tally;
 
 const REPLICAS: usize = 3;
 const SLOTS: usize = 6;
@@ -50,6 +54,7 @@
     pub(crate) slow: f64,
     /// Times that a caller repeats a failed request.
     pub(crate) repeats: u32,
+    pub(crate) mix: Mix,
     pub(crate) seed: u64,
 }
 
@@ -76,6 +81,7 @@
 #[derive(Debug)]
 struct Request {
     host: usize,
+    class: usize,
     /// Time of the caller's first attempt.
     first: u64,
     start: u64,
@@ -95,41 +101,6 @@
     is_done: bool,
 }
 
-/// Requests of the burst and of the time after it, and what became of them.
-#[derive(Debug, Default, Clone, Copy)]
-pub(crate) struct Tally {
-    pub(crate) offered: usize,
-    pub(crate) in_goal: usize,
-    /// Requests that were refused and answered within the goal of a later attempt.
-    pub(crate) returned: usize,
-    pub(crate) late: usize,
-    pub(crate) offered_after: usize,
-    pub(crate) in_goal_after: usize,
-}
-
-impl Tally {
-    pub(crate) fn add(&mut self, other: Self) {
-        self.offered += other.offered;
-        self.in_goal += other.in_goal;
-        self.returned += other.returned;
-        self.late += other.late;
-        self.offered_after += other.offered_after;
-        self.in_goal_after += other.in_goal_after;
-    }
-
-    /// Returns the mean value of a request of the burst to its caller: that of an answer within
-    /// the goal is 1, that of a late one a tenth, and that of a return the mean of both.
-    pub(crate) fn value(&self) -> f64 {
-        let value = self.in_goal as f64 + 0.55 * self.returned as f64 + 0.1 * self.late as f64;
-        value / self.offered as f64
-    }
-
-    /// Returns the share of the requests after the burst that were answered within the goal.
-    pub(crate) fn share_after(&self) -> f64 {
-        self.in_goal_after as f64 / self.offered_after as f64
-    }
-}
-
 /// The hosts, their upstreams and the messages between them.
 struct World {
     pattern: Pattern,
@@ -145,8 +116,8 @@
     to_upstreams: VecDeque<(u64, usize, Leg)>,
     to_hosts: VecDeque<(u64, Leg, HealthSignal)>,
     requests: Vec<Request>,
-    /// Time, host, first attempt and repeats left of callers that come back.
-    returns: Vec<(u64, u64, u32)>,
+    /// Time, first attempt, class and repeats left of callers that come back.
+    returns: Vec<(u64, u64, usize, u32)>,
     token: u64,
     /// Repeats left by host and shard.
     tokens: Vec<Vec<f64>>,
@@ -252,37 +223,46 @@
 
     fn arrive(&mut self) {
         let is_burst = (BURST_START_MS..BURST_END_MS).contains(&self.ms);
-        let factor = if is_burst { self.pattern.burst } else { 1.0 };
+        let Pattern { burst, mix, .. } = self.pattern;
+        let factor = if is_burst {
+            burst * mix.burst_factor()
+        } else {
+            1.0
+        };
         let per_ms = self.pattern.rate * factor / 1_000.0;
         let count = per_ms as usize + usize::from(self.rng.f64() < per_ms.fract());
         for _ in 0..count {
-            self.tally.offered += usize::from(is_burst);
-            self.tally.offered_after +=
-                usize::from((BURST_END_MS..AFTER_END_MS).contains(&self.ms));
-            self.call(self.ms, self.pattern.repeats);
+            let class = mix.draw(is_burst, &mut self.rng);
+            let counts = &mut self.tally.classes[class];
+            counts.offered += usize::from(is_burst);
+            counts.offered_after += usize::from((BURST_END_MS..AFTER_END_MS).contains(&self.ms));
+            self.call(self.ms, class, self.pattern.repeats);
         }
         let due: Vec<_> = self
             .returns
             .extract_if(.., |(at, ..)| *at <= self.ms)
             .collect();
-        for (_, first, repeats) in due {
-            self.call(first, repeats);
+        for (_, first, class, repeats) in due {
+            self.call(first, class, repeats);
         }
     }
 
-    fn call(&mut self, first: u64, repeats_left: u32) {
+    fn call(&mut self, first: u64, class: usize, repeats_left: u32) {
         let host = self.rng.usize(..self.pattern.hosts);
         let now = self.now();
-        if !self.admissions[host].try_start(now) {
+        let can_meet_goal = self.ms - first + WORK_MS <= GOAL_MS;
+        let caller = self.pattern.mix.caller(class, can_meet_goal);
+        if !self.admissions[host].try_start(now, &caller) {
             let left = BUDGET_MS.saturating_sub(self.ms - first);
             let longest = Duration::from_millis(left / 3);
             let after = self.admissions[host].return_time(now, longest);
-            self.come_back(first, repeats_left, after.as_millis() as u64);
+            self.come_back(first, class, repeats_left, after.as_millis() as u64);
             return;
         }
         let request = self.requests.len();
         self.requests.push(Request {
             host,
+            class,
             first,
             start: self.ms,
             repeats_left,
@@ -299,10 +279,10 @@
         }
     }
 
-    fn come_back(&mut self, first: u64, repeats_left: u32, after: u64) {
+    fn come_back(&mut self, first: u64, class: usize, repeats_left: u32, after: u64) {
         if repeats_left > 0 {
             self.returns
-                .push((self.ms + after + 6, first, repeats_left - 1));
+                .push((self.ms + after + 6, first, class, repeats_left - 1));
         }
     }
 
@@ -465,23 +445,25 @@
         }
         request.is_open = false;
         let (first, repeats, host) = (request.first, request.repeats_left, request.host);
+        let class = request.class;
         let failure = (!is_served).then_some(request.failure);
-        self.admissions[host].finish(now, failure);
+        self.admissions[host].finish(now, Duration::from_millis(age), failure);
         if is_served {
             let is_burst = (BURST_START_MS..BURST_END_MS).contains(&first);
             let is_timely = self.ms + 2 - first <= GOAL_MS;
             let is_after = (BURST_END_MS..AFTER_END_MS).contains(&first);
-            self.tally.in_goal_after += usize::from(is_after && is_timely);
+            let counts = &mut self.tally.classes[class];
+            counts.in_goal_after += usize::from(is_after && is_timely);
             let is_returned = self.ms + 2 - self.requests[index].start <= GOAL_MS;
             if is_burst {
                 match (is_timely, is_returned) {
-                    (true, _) => self.tally.in_goal += 1,
-                    (false, true) => self.tally.returned += 1,
-                    (false, false) => self.tally.late += 1,
+                    (true, _) => counts.in_goal += 1,
+                    (false, true) => counts.returned += 1,
+                    (false, false) => counts.late += 1,
                 }
             }
         } else {
-            self.come_back(first, repeats, 0);
+            self.come_back(first, class, repeats, 0);
         }
     }
 }
