relay: estimate once for a request whether it can meet its goal

The caps and the limit on gathered requests kept time budgets of their own, one of them 5 ms short of what callers state, so first attempts could count as returning ones.

--- a/crates/cornelwinch_relay/src/caps.rs
+++ b/crates/cornelwinch_relay/src/caps.rs
@@ -180,12 +180,13 @@
     }
 
     /// Admits a request under the cap of its organisation. Returns the time after which the caller
-    /// may return if the request is refused. `left` is the time that the caller still waits.
+    /// may return if the request is refused. `is_timely` tells whether an answer could still
+    /// meet the goal of the route.
     pub(crate) async fn admit(
         &self,
         sender: &Sender,
         route: &Route,
-        left: Option<Duration>,
+        is_timely: bool,
     ) -> Result<Option<Admission>, Duration> {
         let Sender::Organisation(organisation) = sender else {
             return Ok(None);
@@ -195,12 +196,9 @@
             return Ok(None);
         }
         let now = Instant::now();
-        let (decision, is_timely) = {
-            let core = &mut *self.core.borrow_mut();
-            let typical = core.median_leg_time(route);
-            let is_timely =
-                left.is_none_or(|left| core.time_budgets.can_meet_goal(now, route, left, typical));
-            (core.caps.stock.try_admit(now, name, is_timely), is_timely)
+        let decision = {
+            let stock = &mut self.core.borrow_mut().caps.stock;
+            stock.try_admit(now, name, is_timely)
         };
         let result = match decision {
             CapDecision::Admitted(token) => Ok(token),
@@ -249,6 +247,20 @@
         }
     }
 
+    /// Reports whether an answer to a request could still meet the goal of its route, which is
+    /// estimated only where shortages are shared among organisations. `left` is the time that the
+    /// caller still waits.
+    pub(crate) fn is_timely(&self, route: &Route, left: Option<Duration>) -> bool {
+        let has_cap_bounds = self.settings.borrow().bounds.cap.is_some();
+        let core = &mut *self.core.borrow_mut();
+        let (true, Some(left)) = (has_cap_bounds || core.organisations.is_some(), left) else {
+            return true;
+        };
+        let typical = core.median_leg_time(route);
+        core.time_budgets
+            .can_meet_goal(Instant::now(), route, left, typical)
+    }
+
     /// Gives back the token of a request that did not run.
     pub(crate) fn end_admission(&self, admission: Option<Admission>, outcome: Outcome) {
         if let Some(Admission {
--- a/crates/cornelwinch_relay/src/gather_limits.rs
+++ b/crates/cornelwinch_relay/src/gather_limits.rs
@@ -1,8 +1,6 @@
 use std::time::{Duration, Instant};
 
-use cornelwinch_routing::{
-    AdmissionOrder, Caller, GatherLimit, GatherOutcome, ReturnSchedule, TimeBudgets,
-};
+use cornelwinch_routing::{AdmissionOrder, Caller, GatherLimit, GatherOutcome, ReturnSchedule};
 use cornelwinch_types::{Name, SortedMap};
 
 /// Limits on concurrent gathered requests while upstreams lack capacity, by the sorted names of
@@ -10,8 +8,6 @@
 #[derive(Debug, Default)]
 pub(crate) struct GatherLimits {
     limits: SortedMap<Vec<Name>, ShardSetLimit>,
-    /// Time budgets of callers; in use while requests are ordered.
-    pub(crate) time_budgets: TimeBudgets,
 }
 
 #[derive(Debug, Default)]
--- a/crates/cornelwinch_relay/src/handle.rs
+++ b/crates/cornelwinch_relay/src/handle.rs
@@ -114,17 +114,21 @@
         _ => None,
     };
     let left = millis(request.headers(), &shared.dialect.headers.deadline_ms);
+    let is_timely = match &route {
+        Some(Ok(route)) => shared.is_timely(route, left),
+        _ => true,
+    };
     let reply = match (&table, &route, sender) {
         (Some(_), Some(Ok(_)), Err(reason)) => Reply::rejected(StatusCode::UNAUTHORIZED, reason),
         (Some(_), Some(Ok(route)), Ok(_)) if stops_before_goal(&shared, route, start) => {
             Reply::not_run("stopping")
         }
         (Some(table), Some(Ok(route)), Ok(sender)) => {
-            match shared.admit(&sender, route, left).await {
+            match shared.admit(&sender, route, is_timely).await {
                 Ok(admission) => {
                     let reply = tokio::select! {
                         biased;
-                        reply = answer(&shared, table, route.clone(), sender, request, start) => reply,
+                        reply = answer(&shared, table, route.clone(), sender, is_timely, request, start) => reply,
                         () = shared.stop_due() => Reply::timed_out("stopping"),
                     };
                     shared.end_admission(admission, reply.outcome);
@@ -217,6 +221,7 @@
     table: &RouteTable,
     route: Arc<Route>,
     sender: Sender,
+    is_timely: bool,
     request: Request<Incoming>,
     start: Instant,
 ) -> Reply {
@@ -251,7 +256,7 @@
     let mut headers = head.headers;
     strip_hop_by_hop(&mut headers);
     sender.replace_key(&shared.dialect, &mut headers);
-    let caller = sender.caller(&route);
+    let caller = sender.caller(&route, is_timely);
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let Ok(uri) = path.parse() else {
         return Reply::rejected(StatusCode::BAD_REQUEST, "path");
--- a/crates/cornelwinch_relay/src/keys.rs
+++ b/crates/cornelwinch_relay/src/keys.rs
@@ -58,8 +58,8 @@
         }
     }
 
-    /// Returns what the order of admission knows of the sender of a first attempt.
-    pub(crate) fn caller(&self, route: &Route) -> Caller {
+    /// Returns what the order of admission knows of the sender.
+    pub(crate) fn caller(&self, route: &Route, can_meet_goal: bool) -> Caller {
         let organisation = match self {
             Self::Organisation(organisation) => Some(organisation),
             Self::NoKeys | Self::Anonymous => None,
@@ -69,7 +69,7 @@
             priority: organisation
                 .and_then(|organisation| organisation.priority)
                 .unwrap_or(route.priority),
-            can_meet_goal: true,
+            can_meet_goal,
         }
     }
 
--- a/crates/cornelwinch_relay/src/scatter.rs
+++ b/crates/cornelwinch_relay/src/scatter.rs
@@ -66,7 +66,7 @@
     }
     let mut shards = plan.shards.clone();
     shards.sort_unstable();
-    if !try_start(&shared, &shards, &out, &route, caller, arrived) {
+    if !try_start(&shared, &shards, &caller, arrived) {
         let time = return_time(&shared, &shards, &out);
         return Reply::not_run_for("overloaded", time);
     }
@@ -120,28 +120,17 @@
 /// Starts a request if the limit on gathered requests to its shards allows it. Requests are ordered
 /// by priority and organisation only where the settings have bounds of caps, or the desired state
 /// has organisations.
-fn try_start(
-    shared: &Shared,
-    shards: &[Name],
-    out: &OutgoingRequest,
-    route: &Route,
-    mut caller: Caller,
-    now: Instant,
-) -> bool {
+fn try_start(shared: &Shared, shards: &[Name], caller: &Caller, now: Instant) -> bool {
     let has_cap_bounds = shared.settings.borrow().bounds.cap.is_some();
     let mut core = shared.core.borrow_mut();
     let hosts = core.host_count();
     if !has_cap_bounds && core.organisations.is_none() {
         return core.gather_limits.start(shards, hosts, now, None);
     }
-    let left = out.deadline.saturating_duration_since(now);
-    let typical = core.median_leg_time(route);
-    let budgets = &mut core.gather_limits.time_budgets;
-    caller.can_meet_goal = budgets.can_meet_goal(now, route, left, typical);
     let draw = core.rng.f64();
     let may_start = core
         .gather_limits
-        .start(shards, hosts, now, Some((&caller, draw)));
+        .start(shards, hosts, now, Some((caller, draw)));
     if !may_start {
         core.metrics.record_refused_gather(caller.priority);
     }
