relay: confirm the first desired state before it is in force

Cause: a process without a desired state applied the catch-up messages of a source before the first heartbeat showed how old the source's knowledge is. A source that had silently lost the store brought an old version, and a revoked key with it, into force on a host that had just started, until that host read the store. If the store answered this host no longer, that did not end.

Change: such a process applies a desired state that has organisations, or any where caps are configured, only after a heartbeat of a source that is up to date. Other kinds and the marks of requests that crash upstreams are applied as before, and so is everything on deployments without organisations, where a host that starts during an outage of the store serves with what its sources know. Where a desired state is in force, the revision decides as before.

--- a/crates/cornelwinch_relay/src/subscribe.rs
+++ b/crates/cornelwinch_relay/src/subscribe.rs
@@ -16,6 +16,10 @@
 /// Timeout for connecting to a source and exchanging the first messages.
 const HELLO_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Largest number of messages with a desired state before the first heartbeat. A source sends one,
+/// and one for each version that is published meanwhile.
+const MAX_UNCONFIRMED: usize = 16;
+
 /// Reason why a source does not feed this host, or no longer does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum FeedEnd {
@@ -75,14 +79,33 @@
     }
 
     /// Applies the source's catch-up messages up to its first heartbeat.
+    ///
+    /// A process without a desired state applies one that needs confirmation only after the
+    /// heartbeat has shown that the source is up to date. Otherwise a source that has lost the
+    /// store could bring a version with a revoked key into force. Where this process already has a
+    /// desired state, the revision decides, and older versions are ignored.
     pub(crate) async fn catch_up(&mut self, shared: &Shared) -> Result<(), FeedEnd> {
         let heartbeat_timeout = shared.sync_timing().heartbeat_timeout;
+        let mut unconfirmed = Vec::new();
         loop {
             let message = match timeout(heartbeat_timeout, self.next()).await {
                 Ok(message) => message?,
                 Err(_) => return Err(FeedEnd::Lost),
             };
+            if needs_confirmation(shared, &message) {
+                if unconfirmed.len() >= MAX_UNCONFIRMED {
+                    return Err(FeedEnd::Malformed);
+                }
+                unconfirmed.push(message);
+                continue;
+            }
             let is_beat = matches!(message, FeedMessage::Beat { .. });
+            if is_beat && !unconfirmed.is_empty() {
+                check_fresh(shared, &message)?;
+                for message in unconfirmed.drain(..) {
+                    apply_message(shared, message)?;
+                }
+            }
             apply_message(shared, message)?;
             if is_beat {
                 return Ok(());
@@ -136,7 +159,38 @@
         .unwrap_or(Err(FeedEnd::Unreachable))
 }
 
+/// Returns true if a message of a source may be applied only once the source has proved to be up to
+/// date: a desired state with organisations, or any where caps are configured, for a process that
+/// has none. In other deployments a process that starts during an outage of the store serves with
+/// what its sources know.
+fn needs_confirmation(shared: &Shared, message: &FeedMessage) -> bool {
+    if shared.core.borrow().table.is_some() {
+        return false;
+    }
+    let (FeedMessage::List { kind, items, .. } | FeedMessage::Changes { kind, items, .. }) =
+        message
+    else {
+        return matches!(message, FeedMessage::Version { .. });
+    };
+    let has_organisations = |item: &StoreObject| matches!(&item.value, Some(ObjectValue::DesiredState(state)) if state.organisations.is_some());
+    *kind == ObjectKind::DesiredState
+        && (shared.settings.borrow().bounds.cap.is_some() || items.iter().any(has_organisations))
+}
+
+/// Checks that a heartbeat shows a source that is up to date with the store.
+fn check_fresh(shared: &Shared, message: &FeedMessage) -> Result<(), FeedEnd> {
+    match message {
+        FeedMessage::Beat {
+            age_ms, is_failing, ..
+        } if *is_failing || Duration::from_millis(*age_ms) > shared.sync_timing().max_age => {
+            Err(FeedEnd::Stale)
+        }
+        _ => Ok(()),
+    }
+}
+
 fn apply_message(shared: &Shared, message: FeedMessage) -> Result<(), FeedEnd> {
+    check_fresh(shared, &message)?;
     match message {
         FeedMessage::Hello { .. } | FeedMessage::Known { .. } | FeedMessage::Marks { .. } => {}
         FeedMessage::List {
@@ -175,13 +229,9 @@
         FeedMessage::Crashes { reports } => shared.record_crash_reports(&reports),
         FeedMessage::Beat {
             age_ms,
-            is_failing,
             hosts_age_ms,
+            ..
         } => {
-            let max_age = shared.sync_timing().max_age;
-            if is_failing || Duration::from_millis(age_ms) > max_age {
-                return Err(FeedEnd::Stale);
-            }
             let now = Instant::now();
             shared.record_feed(now);
             let hosts_age = Duration::from_millis(hosts_age_ms.unwrap_or(age_ms));
