relay: keep the role of the coordinator without the store

Cause: a coordinator that lost the store ended all delegations once another host fed it. Each host learned of it with its next report, up to 400 ms later, and delegated to the next coordinator with its second report, 400 ms after the first. Until then hosts had only their own shares, and an organisation whose callers are at one host was refused below its cap. After the last answer a stock also kept its smaller limit of a delegated share.

Change: a coordinator keeps the role while it holds delegations and the store answered it within 30 s, since caps need no store. When it ends the role, it tells the connected hosts at once, and a connection ends after the last answer, so that no report from before it is read. A host delegates right after the first answer on a connection, or at the end of its earlier delegation. The stock takes the last answer without a report and raises its limits with it. A stock bounds the tokens that one grant can bring, since a faulty coordinator could exhaust the memory of a host.

--- a/crates/cornelwinch_relay/src/caps.rs
+++ b/crates/cornelwinch_relay/src/caps.rs
@@ -35,6 +35,10 @@
 /// not move the role to and fro.
 const POOL_CLOSED_TIME: Duration = Duration::from_secs(15);
 
+/// Time without an answer of the store for which a host keeps the role of the coordinator. Caps need
+/// no store, and a move to another coordinator costs refusals until all hosts have delegated to it.
+const KEPT_ROLE_TIME: Duration = Duration::from_secs(30);
+
 /// Caps of organisations on this host.
 #[derive(Debug)]
 pub(crate) struct Caps {
@@ -73,12 +77,15 @@
         }
     }
 
-    /// Ends all delegations, because this host no longer takes the role of the coordinator.
-    fn close_pool(&mut self, now: Instant) {
-        if !self.pool.is_closed() && self.pool.delegation_count(now) > 0 {
-            self.pool.close(now);
-            self.pool_closed_at = Some(now);
+    /// Ends all delegations, because this host no longer takes the role of the coordinator. Returns
+    /// true if there were any.
+    fn close_pool(&mut self, now: Instant) -> bool {
+        if self.pool.is_closed() || self.pool.delegation_count(now) == 0 {
+            return false;
         }
+        self.pool.close(now);
+        self.pool_closed_at = Some(now);
+        true
     }
 
     /// Returns true if the pool accepts delegations or may do so again.
@@ -254,35 +261,42 @@
         }
     }
 
-    /// Returns true if this host takes the role of the coordinator when other hosts ask for it.
+    /// Returns true if this host takes the role of the coordinator when other hosts ask for it. It
+    /// follows the store, or has the role and lost the store a short time ago.
     pub(crate) fn can_coordinate(&self) -> bool {
-        self.is_source()
-            && !self.is_stopping()
-            && self.core.borrow().caps.can_open_pool(Instant::now())
+        let now = Instant::now();
+        let age = self.store_health.time_since_answer(now);
+        let may_keep = age.is_some_and(|age| age < KEPT_ROLE_TIME);
+        let caps = &mut self.core.borrow_mut().caps;
+        !self.is_stopping()
+            && caps.can_open_pool(now)
+            && (self.is_source() || may_keep && caps.pool.delegation_count(now) > 0)
     }
 
     /// Answers the report of a host as coordinator.
     pub(crate) fn answer_cap_report(&self, host: &Name, report: &CapReport) -> CapGrant {
         let now = Instant::now();
-        let can_coordinate = self.can_coordinate();
-        let mut core = self.core.borrow_mut();
-        if can_coordinate {
-            core.caps.pool.reopen();
-        } else {
-            core.caps.close_pool(now);
+        if !self.can_coordinate() {
+            return self.last_grant(now, report.sequence);
         }
+        let mut core = self.core.borrow_mut();
+        core.caps.pool.reopen();
         let hosts = core.host_count();
-        if can_coordinate {
-            return core.caps.pool.answer(now, host, hosts, report);
+        core.caps.pool.answer(now, host, hosts, report)
+    }
+
+    /// Ends all delegations and returns the answer that tells a host so. It grants nothing: a report
+    /// may have been sent before the host learned that this one coordinates no longer.
+    pub(crate) fn last_grant(&self, now: Instant, answered: u64) -> CapGrant {
+        if self.core.borrow_mut().caps.close_pool(now) {
+            self.coordination.ended.notify_waiters();
         }
-        // A report may have been sent before the host learned that this one coordinates no longer.
-        let report = CapReport {
-            delegation: None,
-            ..report.clone()
-        };
         CapGrant {
+            answered,
+            stamp: 0,
             is_last: true,
-            ..core.caps.pool.answer(now, host, hosts, &report)
+            tokens: Vec::new(),
+            wait_ms: Vec::new(),
         }
     }
 
@@ -306,10 +320,8 @@
 /// Ends the delegations of other hosts once this host no longer coordinates.
 pub(crate) fn prune_caps(shared: &Rc<Shared>) {
     let now = Instant::now();
-    let can_coordinate = shared.can_coordinate();
-    let mut core = shared.core.borrow_mut();
-    core.caps.prune(now);
-    if !can_coordinate {
-        core.caps.close_pool(now);
+    shared.core.borrow_mut().caps.prune(now);
+    if !shared.can_coordinate() {
+        shared.last_grant(now, 0);
     }
 }
--- a/crates/cornelwinch_relay/src/coordination.rs
+++ b/crates/cornelwinch_relay/src/coordination.rs
@@ -63,6 +63,8 @@
     pub(crate) wanted: Notify,
     /// Notified when the coordinator has answered.
     pub(crate) granted: Notify,
+    /// Notified when this host has ended the delegations of other hosts.
+    pub(crate) ended: Notify,
     /// True while this host is its own coordinator.
     pub(crate) is_local: Cell<bool>,
     /// The coordinator of this host.
@@ -236,9 +238,14 @@
 async fn run(shared: &Shared, coordinator: Coordinator) -> String {
     match coordinator {
         Coordinator::ThisHost => {
+            let mut is_first = true;
             while is_needed(shared) && shared.can_coordinate() {
                 shared.report_to_itself();
-                sleep(REPORT_INTERVAL).await;
+                tokio::select! {
+                    () = sleep(next_report_in(shared, is_first)) => {}
+                    () = shared.coordination.ended.notified() => {}
+                }
+                is_first = false;
             }
             "not_source".to_owned()
         }
@@ -249,15 +256,27 @@
     }
 }
 
+/// Returns the time until the next report. The second one on a connection delegates the share of
+/// this host, so it follows the first answer at once, or the end of an earlier delegation.
+fn next_report_in(shared: &Shared, is_first: bool) -> Duration {
+    let delegate_from = shared.core.borrow().caps.stock.delegate_from();
+    match delegate_from.checked_duration_since(Instant::now()) {
+        Some(wait) => wait.min(REPORT_INTERVAL),
+        None if is_first => Duration::ZERO,
+        None => REPORT_INTERVAL,
+    }
+}
+
 async fn report(shared: &Shared, socket: &mut Socket) -> Result<(), String> {
     let mut next_report = Instant::now();
     let mut waiting_since = None;
+    let mut is_answered = false;
     while is_needed(shared) {
         if waiting_since.is_some_and(|since: Instant| since.elapsed() >= ANSWER_TIMEOUT) {
             return Err("silent".to_owned());
         }
         if next_report <= Instant::now() || shared.core.borrow().caps.stock.wants_report() {
-            next_report = Instant::now() + REPORT_INTERVAL;
+            next_report = Instant::now() + next_report_in(shared, false);
             waiting_since.get_or_insert(Instant::now());
             for message in next_messages(shared) {
                 let buf = message.encode();
@@ -269,6 +288,9 @@
             message = receive(socket) => {
                 record_answer(shared, message?)?;
                 waiting_since = None;
+                if !std::mem::replace(&mut is_answered, true) {
+                    next_report = Instant::now() + next_report_in(shared, true);
+                }
             }
             () = shared.coordination.wanted.notified() => {}
             () = sleep_until(next_report.into()) => {}
@@ -321,14 +343,28 @@
         return Err("no_join".to_owned());
     };
     loop {
-        let message = receive(socket).await?;
+        let message = tokio::select! {
+            message = receive(socket) => message?,
+            () = shared.coordination.ended.notified() => {
+                if shared.can_coordinate() {
+                    continue;
+                }
+                // Hosts without demand report only each 400 ms, and their shares would be unused.
+                let last = shared.last_grant(Instant::now(), 0);
+                send(socket, CoordinationMessage::CapGrant(last).encode()).await?;
+                return Ok("ended");
+            }
+        };
         let Some(answer) = answer(shared, &host, &message) else {
             return Err("no_report".to_owned());
         };
+        let is_last = matches!(&answer, CoordinationMessage::CapGrant(grant) if grant.is_last);
         let buf = answer.encode();
         shared.core.borrow_mut().metrics.coordination_bytes += buf.len() as u64;
         send(socket, buf).await?;
-        if !shared.can_coordinate() {
+        // A host resumes its own refill after the last answer, so reports that it sent before must
+        // not be read.
+        if is_last {
             return Ok("ended");
         }
     }
--- a/crates/cornelwinch_routing/src/cap_stock.rs
+++ b/crates/cornelwinch_routing/src/cap_stock.rs
@@ -3,7 +3,9 @@
 
 use cornelwinch_types::{Name, SortedMap};
 
-use crate::cap::{CLOCK_DRIFT_FACTOR, DELEGATION_TIME, TOKEN_TIME, retain_names};
+use crate::cap::{
+    CLOCK_DRIFT_FACTOR, DELEGATION_TIME, MAX_TOKENS_PER_GRANT, TOKEN_TIME, retain_names,
+};
 use crate::{Cap, CapGrant, CapReport, CapRule};
 
 /// Time after the start of a process during which it does not refill and delegates nothing. A
@@ -17,6 +19,10 @@
 /// `TOKEN_TIME` are lost, so it is a fraction of that.
 const ADVANCE_TIME: Duration = Duration::from_millis(40);
 
+/// Largest number of tokens of an organisation beyond the limit of its stock: 20,000 requests a
+/// second on one host. A faulty coordinator may grant any number.
+const MAX_LOOSE_TOKENS: usize = 4_096;
+
 /// Time after which a host that was told to wait in vain, or has no coordinator, lets a caller
 /// return if it doesn't know when the next token comes.
 const UNKNOWN_WAIT: Duration = Duration::from_millis(250);
@@ -239,6 +245,11 @@
         }
     }
 
+    /// Returns the time from which this host may delegate its share.
+    pub fn delegate_from(&self) -> Instant {
+        self.delegate_from
+    }
+
     /// Returns true if the coordinator is to be asked for tokens and has no question to answer.
     pub fn wants_report(&self) -> bool {
         let has_wants = || {
@@ -300,13 +311,17 @@
         {
             asked = Some(at);
         }
-        let Some(asked) = asked else {
-            return;
-        };
-        self.stamp = Some((grant.stamp, now));
+        // The last answer may come without a report.
         if grant.is_last {
             self.own_from = self.own_from.min(now.max(self.delegate_from));
             self.stamp = None;
+            self.limit_stocks(self.own_from > now);
+        }
+        let Some(asked) = asked else {
+            return;
+        };
+        if !grant.is_last {
+            self.stamp = Some((grant.stamp, now));
         }
         let end = asked + TOKEN_TIME;
         for (name, tokens) in &grant.tokens {
@@ -315,7 +330,8 @@
             };
             entry.ask_at = None;
             if end > now {
-                (0..*tokens).for_each(|_| entry.put(end));
+                let tokens = (*tokens).min(MAX_TOKENS_PER_GRANT);
+                (0..tokens).for_each(|_| entry.put(end));
             }
             if entry.lacking() > 0 {
                 entry.mark(name, &mut self.dirty);
@@ -374,7 +390,7 @@
     fn put(&mut self, end: Instant) {
         if self.stock + 1.0 <= self.limit {
             self.stock += 1.0;
-        } else {
+        } else if self.loose.len() < MAX_LOOSE_TOKENS {
             let place = self.loose.partition_point(|other| *other <= end);
             self.loose.insert(place, end);
         }
@@ -409,7 +425,7 @@
             }
             None => return None,
         };
-        self.spent += 1;
+        self.spent = self.spent.saturating_add(1);
         Some(CapToken { end })
     }
 
