--- a/crates/cornelwinch_relay/src/coordination.rs
+++ b/crates/cornelwinch_relay/src/coordination.rs
@@ -6,6 +6,7 @@
 use cornelwinch_routing::{HostEntry, source_count, source_order};
 use cornelwinch_types::Name;
 use futures_util::StreamExt;
+use futures_util::stream::FuturesOrdered;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{sleep, sleep_until, timeout};
@@ -53,6 +54,9 @@
 /// Number of hosts beyond the preferred sources that may become coordinator.
 const FALLBACK_COORDINATORS: usize = 3;
 
+/// Number of hosts of a zone that may become coordinator if the zone is cut off.
+const ZONE_COORDINATORS: usize = 3;
+
 /// Largest message on this connection. A report on 16,384 organisations with names of 20 bytes
 /// takes less.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
@@ -66,6 +70,8 @@
     pub(crate) wanted: Notify,
     /// Notified when the coordinator has answered.
     pub(crate) granted: Notify,
+    /// Notified when this host has ended the delegations of other hosts.
+    pub(crate) ended: Notify,
     /// True while this host is its own coordinator.
     pub(crate) is_local: Cell<bool>,
     /// The coordinator of this host.
@@ -159,32 +165,47 @@
     }
 }
 
-/// Returns the hosts that may become coordinator in order of precedence. This host is one of them.
+/// Returns the hosts that may become coordinator in order of precedence; this host is one of them.
+/// Those of its own zone come last, for a zone that is cut off from the others.
 fn candidates(shared: &Shared) -> Vec<HostEntry> {
     let this_host = shared.own_entry();
     let hosts = shared.hosts.borrow();
-    let mut order = source_order(&hosts);
-    order.truncate(source_count(hosts.len()) + FALLBACK_COORDINATORS);
-    if !order.iter().any(|host| host.name == this_host.name) {
-        order.push(this_host);
+    let order = source_order(&hosts);
+    let (first, others) = order.split_at(
+        order
+            .len()
+            .min(source_count(hosts.len()) + FALLBACK_COORDINATORS),
+    );
+    let own_zone = others.iter().filter(|host| host.zone == this_host.zone);
+    let mut candidates: Vec<HostEntry> = first
+        .iter()
+        .chain(own_zone.take(ZONE_COORDINATORS))
+        .cloned()
+        .collect();
+    if !candidates.iter().any(|host| host.name == this_host.name) {
+        candidates.push(this_host);
     }
-    order
+    candidates
 }
 
+/// Asks all candidates at once, since each that cannot be reached costs the time-out, and returns
+/// the first that takes the role.
 async fn find_coordinator(shared: &Shared, candidates: &[HostEntry]) -> Option<Coordinator> {
     let this_host = shared.own_entry().name;
-    for host in candidates {
-        if host.name == this_host {
-            if shared.can_coordinate() {
-                return Some(Coordinator::ThisHost);
+    let ask = |host: HostEntry| {
+        let this_host = this_host.clone();
+        async move {
+            if host.name == this_host {
+                return shared.can_coordinate().then_some(Coordinator::ThisHost);
             }
-            continue;
-        }
-        if let Ok(Ok(socket)) = timeout(CONNECT_TIMEOUT, open(host, &this_host)).await {
-            return Some(Coordinator::Other(host.clone(), Box::new(socket)));
+            let socket = timeout(CONNECT_TIMEOUT, open(&host, &this_host)).await;
+            let socket = Box::new(socket.ok()?.ok()?);
+            Some(Coordinator::Other(host, socket))
         }
-    }
-    None
+    };
+    let answers: FuturesOrdered<_> = candidates.iter().cloned().map(ask).collect();
+    let mut found = std::pin::pin!(answers.filter_map(std::future::ready));
+    found.next().await
 }
 
 /// Waits until one of the hosts that precede the coordinator takes this role.
@@ -241,10 +262,15 @@
 async fn run(shared: &Shared, coordinator: Coordinator) -> String {
     match coordinator {
         Coordinator::ThisHost => {
+            let mut is_first = true;
             while is_needed(shared) && shared.can_coordinate() {
                 shared.report_to_itself();
                 shared.report_versions_to_itself();
-                sleep(REPORT_INTERVAL).await;
+                tokio::select! {
+                    () = sleep(next_report_in(shared, is_first)) => {}
+                    () = shared.coordination.ended.notified() => {}
+                }
+                is_first = false;
             }
             "not_source".to_owned()
         }
@@ -255,10 +281,22 @@
     }
 }
 
+/// Returns the time until the next report. The second one on a connection delegates the share of
+/// this host, so it follows the first answer at once, or the end of an earlier delegation.
+fn next_report_in(shared: &Shared, is_first: bool) -> Duration {
+    let delegate_from = shared.core.borrow().caps.stock.delegate_from();
+    match delegate_from.checked_duration_since(Instant::now()) {
+        Some(wait) => wait.min(REPORT_INTERVAL),
+        None if is_first => Duration::ZERO,
+        None => REPORT_INTERVAL,
+    }
+}
+
 async fn report(shared: &Shared, socket: &mut Socket) -> Result<(), String> {
     let mut next_report = Instant::now();
     let mut next_versions = next_report;
     let mut waiting_since = None;
+    let mut is_answered = false;
     while is_needed(shared) {
         if waiting_since.is_some_and(|since: Instant| since.elapsed() >= ANSWER_TIMEOUT) {
             return Err("silent".to_owned());
@@ -271,7 +309,7 @@
         }
         let is_due = has_versions || next_report <= now;
         if is_due || shared.core.borrow().caps.stock.wants_report() {
-            next_report = now + REPORT_INTERVAL;
+            next_report = now + next_report_in(shared, false);
             waiting_since.get_or_insert(now);
             for message in next_messages(shared, has_versions) {
                 let buf = message.encode();
@@ -283,6 +321,9 @@
             message = receive(socket) => {
                 record_answer(shared, message?)?;
                 waiting_since = None;
+                if !std::mem::replace(&mut is_answered, true) {
+                    next_report = Instant::now() + next_report_in(shared, true);
+                }
             }
             () = shared.coordination.wanted.notified() => {}
             () = sleep_until(next_report.into()) => {}
@@ -342,7 +383,18 @@
         return Err("no_join".to_owned());
     };
     loop {
-        let message = receive(socket).await?;
+        let message = tokio::select! {
+            message = receive(socket) => message?,
+            () = shared.coordination.ended.notified() => {
+                if shared.can_coordinate() {
+                    continue;
+                }
+                // Hosts without demand report only each 400 ms, and their shares would be unused.
+                let last = shared.last_grant(Instant::now(), 0);
+                send(socket, CoordinationMessage::CapGrant(last).encode()).await?;
+                return Ok("ended");
+            }
+        };
         if let CoordinationMessage::VersionReport(report) = message {
             // There is no stage until the order has been taken over in the store.
             if let Some(stage) = shared.answer_version_report(&host, report) {
@@ -355,10 +407,13 @@
         let Some(answer) = answer(shared, &host, &message) else {
             return Err("no_report".to_owned());
         };
+        let is_last = matches!(&answer, CoordinationMessage::CapGrant(grant) if grant.is_last);
         let buf = answer.encode();
         shared.core.borrow_mut().metrics.coordination_bytes += buf.len() as u64;
         send(socket, buf).await?;
-        if !shared.can_coordinate() {
+        // A host resumes its own refill after the last answer, so reports that it sent before must
+        // not be read.
+        if is_last {
             return Ok("ended");
         }
     }
