--- a/crates/cornelwinch_lab/src/host.rs
+++ b/crates/cornelwinch_lab/src/host.rs
@@ -17,6 +17,10 @@
 /// Time between two looks at a host that is starting or stopping.
 const POLL: Duration = Duration::from_millis(20);
 
+/// Time between two looks at a process that is being paused, and the longest time for it.
+const FREEZE_POLL: Duration = Duration::from_millis(1);
+const FREEZE_TIMEOUT: Duration = Duration::from_secs(5);
+
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Program that runs a host; `--settings FILE` is added to its arguments.
@@ -186,9 +190,37 @@
         }
     }
 
-    /// Pauses the process.
+    /// Pauses the process, and waits until all its threads have stopped. On a busy machine a thread
+    /// may otherwise still handle what arrives after the signal.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a thread does not stop within 5 s.
     pub fn freeze(&self) {
         self.signal(Signal::SIGSTOP);
+        let start = Instant::now();
+        while !self.is_stopped() {
+            assert!(
+                start.elapsed() < FREEZE_TIMEOUT,
+                "the process does not stop"
+            );
+            thread::sleep(FREEZE_POLL);
+        }
+    }
+
+    fn is_stopped(&self) -> bool {
+        let Some(child) = &self.child else {
+            return true;
+        };
+        let Ok(tasks) = std::fs::read_dir(format!("/proc/{}/task", child.id())) else {
+            return true;
+        };
+        tasks.flatten().all(|task| {
+            // The state follows the name in parentheses. A thread that has ended has no file.
+            let stat = std::fs::read_to_string(task.path().join("stat")).unwrap_or_default();
+            let state = stat.rsplit_once(") ").map(|(_, rest)| rest.as_bytes()[0]);
+            state.is_none_or(|state| state == b'T')
+        })
     }
 
     /// Resumes the process after [`HostProcess::freeze`].
