--- a/crates/cornelwinch_routing/src/crashes.rs
+++ b/crates/cornelwinch_routing/src/crashes.rs
@@ -202,14 +202,7 @@
         attempt: Fingerprint,
         upstream: Fingerprint,
     ) -> bool {
-        let Some(suspect) = self.suspect(now, fingerprint) else {
-            return false;
-        };
-        let was_quarantined = suspect.is_quarantined();
-        suspect.is_unreported = true;
-        add_distinct(&mut suspect.cuts, upstream, QUARANTINE_CUTS);
-        add_distinct(&mut suspect.attempts, attempt, QUARANTINE_CUT_ATTEMPTS);
-        suspect.is_quarantined() && !was_quarantined
+        self.record_loss(now, fingerprint, attempt, upstream, false)
     }
 
     /// Returns true if the request was cut and has not been answered since.
@@ -225,13 +218,26 @@
         fingerprint: RequestFingerprint,
         attempt: Fingerprint,
         upstream: Fingerprint,
+    ) -> bool {
+        self.record_loss(now, fingerprint, attempt, upstream, true)
+    }
+
+    fn record_loss(
+        &mut self,
+        now: Instant,
+        fingerprint: RequestFingerprint,
+        attempt: Fingerprint,
+        upstream: Fingerprint,
+        has_crashed: bool,
     ) -> bool {
         let Some(suspect) = self.suspect(now, fingerprint) else {
             return false;
         };
         let was_quarantined = suspect.is_quarantined();
         suspect.is_unreported = true;
-        add_distinct(&mut suspect.upstreams, upstream, QUARANTINE_UPSTREAMS);
+        if has_crashed {
+            add_distinct(&mut suspect.upstreams, upstream, QUARANTINE_UPSTREAMS);
+        }
         add_distinct(&mut suspect.cuts, upstream, QUARANTINE_CUTS);
         add_distinct(&mut suspect.attempts, attempt, QUARANTINE_CUT_ATTEMPTS);
         suspect.is_quarantined() && !was_quarantined
--- a/crates/cornelwinch_routing/tests/cap_bound.rs
+++ b/crates/cornelwinch_routing/tests/cap_bound.rs
@@ -15,7 +15,7 @@
     slack: 20.0,
 };
 
-enum Letter {
+enum Packet {
     Report(CapReport),
     Grant(CapGrant),
 }
@@ -42,8 +42,8 @@
     cap: Cap,
     name: Name,
     hosts: Vec<Host>,
-    /// Time of arrival, host, connection and contents of letters.
-    letters: VecDeque<(f64, usize, u64, Letter)>,
+    /// Time of arrival, host, connection and contents of packets.
+    packets: VecDeque<(f64, usize, u64, Packet)>,
     /// Hosts of the same number reach each other.
     sides: Vec<u8>,
     connections: u64,
@@ -59,7 +59,7 @@
 struct Counts {
     requests: u64,
     refused: u64,
-    letters: u64,
+    packets: u64,
     host_bytes: u64,
     coordinator_bytes: u64,
     /// Processor time of the decisions.
@@ -99,7 +99,7 @@
             now: 0.0,
             cap,
             name: "depot".into(),
-            letters: VecDeque::new(),
+            packets: VecDeque::new(),
             sides: vec![0; count],
             connections: 0,
             ran: Vec::new(),
@@ -164,31 +164,31 @@
         if host != 0 {
             self.counts.host_bytes += size(&report);
         }
-        let letter = Letter::Report(report);
-        self.counts.letters += 1;
-        self.letters
-            .push_back((self.now + delay, host, connection, letter));
+        let packet = Packet::Report(report);
+        self.counts.packets += 1;
+        self.packets
+            .push_back((self.now + delay, host, connection, packet));
     }
 
     fn deliver(&mut self) {
-        for _ in 0..self.letters.len() {
-            let (at, host, connection, letter) = self.letters.pop_front().unwrap();
+        for _ in 0..self.packets.len() {
+            let (at, host, connection, packet) = self.packets.pop_front().unwrap();
             let Some((to, _)) = self.hosts[host].link.filter(|link| link.1 == connection) else {
                 continue;
             };
-            let receiver = if matches!(letter, Letter::Report(_)) {
+            let receiver = if matches!(packet, Packet::Report(_)) {
                 to
             } else {
                 host
             };
             let is_cut = self.sides[host] != self.sides[to];
             if at > self.now || is_cut || self.hosts[receiver].frozen_until > self.now {
-                self.letters.push_back((at, host, connection, letter));
+                self.packets.push_back((at, host, connection, packet));
                 continue;
             }
             let now = self.time(receiver);
-            match letter {
-                Letter::Report(report) => {
+            match packet {
+                Packet::Report(report) => {
                     let count = self.hosts.len();
                     let name: Name = format!("h{host}").into();
                     let start = Instant::now();
@@ -198,10 +198,10 @@
                         self.counts.coordinator_bytes += size(&grant);
                     }
                     let at = self.now + 0.0005 + self.rng.f64() * 0.001;
-                    self.letters
-                        .push_back((at, host, connection, Letter::Grant(grant)));
+                    self.packets
+                        .push_back((at, host, connection, Packet::Grant(grant)));
                 }
-                Letter::Grant(grant) => {
+                Packet::Grant(grant) => {
                     let start = Instant::now();
                     self.hosts[host].stock.record_grant(now, &grant);
                     self.counts.host_time += start.elapsed();
@@ -372,7 +372,7 @@
         let Counts {
             requests,
             refused,
-            letters,
+            packets,
             host_bytes,
             coordinator_bytes,
             host_time,
@@ -383,7 +383,7 @@
         let (peak, allowed) = (plant.peak() as f64, RULE.allowed(&cap));
         println!(
             "hosts={count} load={load} refused={refused:.4} rate={rate:.3} peak={peak} allowed={allowed} reports_per_s={:.1} bytes_per_s: host={:.0} coordinator={:.0} time_per_s: host={:?} coordinator={:?}",
-            letters as f64 / 30.0,
+            packets as f64 / 30.0,
             host_bytes as f64 / 30.0 / (count - 1) as f64,
             coordinator_bytes as f64 / 30.0,
             host_time / 30 / count as u32,
