--- a/crates/cornelwinch_routing/src/admission_order.rs
+++ b/crates/cornelwinch_routing/src/admission_order.rs
@@ -36,8 +36,8 @@
 /// Number of mean intervals between starts without a start after which capacity counts as unused.
 const IDLE_INTERVALS: f64 = 2.0;
 
-/// Number of classes that are told apart. Requests of
-/// organisations beyond them count as without organisation.
+/// Number of classes that are told apart. Requests of organisations beyond them count as without
+/// organisation.
 const MAX_CLASSES: usize = 256;
 
 /// Demand in requests per second below which a class is forgotten.
--- a/crates/cornelwinch_routing/src/work.rs
+++ b/crates/cornelwinch_routing/src/work.rs
@@ -176,7 +176,7 @@
         latency + work + penalty + delay.max(self.overdue(now)) + self.wait(now, query.slots)
     }
 
-    /// Returns the time by which the oldest leg in flight exceeds its expected time. weighted.
+    /// Returns the weighted time by which the oldest leg in flight exceeds its expected time.
     fn overdue(&self, now: Instant) -> f64 {
         let overdue = self.legs.iter().map(|leg| {
             let age = now.saturating_duration_since(leg.sent).as_secs_f64();
