--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -2,6 +2,7 @@
 //! Exit code 1: the rule was broken; 0: it held; 2: the case could not run. With TROUBLE=0 the case
 //! runs without its disruption.
 
+mod cold_growth;
 mod cold_restart;
 mod crash_marks;
 mod cut_watch;
@@ -55,6 +56,7 @@
         has_trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let verdict = match name.as_str() {
+        "cold_growth" => cold_growth::run(&setup),
         "cold_restart" => cold_restart::run(&setup),
         "share_of_cap" => share_of_cap::run(&setup),
         "crash_marks" => crash_marks::run(&setup),
