--- a/review/standins-2/cold_growth.rs
+++ b/review/standins-2/cold_growth.rs
@@ -15,7 +15,7 @@
 const BOUND: usize = 35;
 const COLD_MS: u64 = 3_000;
 /// Age of the data that the store returns to serializable reads; the pages say "seconds old".
-const STALE_BY: Duration = Duration::from_secs(5);
+const STALE_BY: Duration = Duration::from_secs(3);
 
 /// The machines of the site `rafeed-search` and added ones, with their zones.
 const MACHINES: [(&str, &str); 4] = [
--- a/review/standins-2/cut_watch.rs
+++ b/review/standins-2/cut_watch.rs
@@ -1,6 +1,6 @@
-//! DRAIN: the store cuts off the watches of the leafs, as it may. The machines wait for another watch
+//! DRAIN: the store cuts off the watches of the leafs as an entry is removed. The machines wait for another watch
 //! to return before they list the leafs again, take this wait for an outage of the store, and so
-//! keep a leaf in use for 2.3 s more whose entry was removed.
+//! keep the leaf without an entry in use for 2.3 s more.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -89,19 +89,17 @@
         }
         sleep(Duration::from_millis(10));
     }
-    let cut_at = Instant::now();
     if setup.has_trouble {
         for link in &links {
-            let count = link.close(WATCH);
+            let count = link.cut_next(WATCH);
             record.show(&format!(
                 "watches of the leafs that the store cuts off: {count}"
             ));
         }
     }
-    sleep(Duration::from_millis(100));
+    record.show("the entry of i-0001 is removed from the store");
     store.delete("servers", "i-0001");
     let gone_at = Instant::now();
-    record.show("the entry of i-0001 is removed from the store");
     // The leaf serves on for `drain_ms` and two seconds, and exits.
     sleep(DRAIN + Duration::from_millis(2_000));
     leafs[0].end("drained");
@@ -113,7 +111,7 @@
         .map(|sent| (sent.request_id.as_str(), (sent.at, sent.status)))
         .collect();
     // The bound has passed, and the machines are in touch even if the cut counts as a reset.
-    let from = (cut_at + STABLE_WINDOW).max(gone_at + DRAIN) + Duration::from_millis(50);
+    let from = gone_at + DRAIN.max(STABLE_WINDOW) + Duration::from_millis(50);
     let (mut late, mut lost, mut last) = (0, 0, from);
     for arrival in leafs[0].arrivals() {
         let Some((at, status)) = sent_at.get(arrival.request_id.as_str()) else {
--- a/review/standins-2/proxy.rs
+++ b/review/standins-2/proxy.rs
@@ -3,12 +3,14 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Instant;
 
 struct Link {
-    client: Option<TcpStream>,
+    /// The next answer on the connection is cut off.
+    is_cut: AtomicBool,
     /// First line of the last request on the connection, and when it came.
     last: Mutex<(String, Instant)>,
 }
@@ -33,7 +35,7 @@
                 };
                 let _ = (client.set_nodelay(true), server.set_nodelay(true));
                 let link = Arc::new(Link {
-                    client: client.try_clone().ok(),
+                    is_cut: AtomicBool::new(false),
                     last: Mutex::new((String::new(), Instant::now())),
                 });
                 let mut links = accepting.links.lock().expect("not poisoned");
@@ -43,8 +45,9 @@
                 else {
                     continue;
                 };
-                thread::spawn(move || copy(client_in, server, Some(&link)));
-                thread::spawn(move || copy(server_in, client, None));
+                let there = link.clone();
+                thread::spawn(move || copy(client_in, server, &there, true));
+                thread::spawn(move || copy(server_in, client, &link, false));
             }
         });
         proxy
@@ -60,28 +63,31 @@
         last.max()
     }
 
-    /// Closes the connections on which the last request had these words. Returns their number.
-    pub fn close(&self, words: &str) -> usize {
+    /// Cuts off the next answer on the connections on which the last request had these words: the
+    /// connection is closed instead. Returns their number.
+    pub fn cut_next(&self, words: &str) -> usize {
         let links = self.links.lock().expect("not poisoned");
         let chosen = links
             .iter()
             .filter(|link| link.last.lock().expect("not poisoned").0.contains(words));
-        let closed = chosen.filter_map(|link| link.client.as_ref()?.shutdown(Shutdown::Both).ok());
-        closed.count()
+        let cut = chosen.map(|link| link.is_cut.store(true, Ordering::SeqCst));
+        cut.count()
     }
 }
 
-fn copy(mut from: TcpStream, mut to: TcpStream, link: Option<&Link>) {
+fn copy(mut from: TcpStream, mut to: TcpStream, link: &Link, is_request: bool) {
     let mut bytes = vec![0; 64 * 1024];
     loop {
         let count = match from.read(&mut bytes) {
             Ok(count) if count > 0 => count,
             _ => break,
         };
-        if let Some(link) = link {
+        if is_request {
             let text = String::from_utf8_lossy(&bytes[..count]);
             let line = text.lines().next().unwrap_or("").to_owned();
             *link.last.lock().expect("not poisoned") = (line, Instant::now());
+        } else if link.is_cut.load(Ordering::SeqCst) {
+            break;
         }
         if to.write_all(&bytes[..count]).is_err() {
             break;
--- a/review/standins-2/relay.rs
+++ b/review/standins-2/relay.rs
@@ -2,6 +2,7 @@
 
 use std::fs::{self, File};
 use std::net::{SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
@@ -10,6 +11,13 @@
 
 use crate::http::call;
 
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
+unsafe extern "C" {
+    fn prctl(option: i32, argument: u64, ...) -> i32;
+}
+
 const PROGRAM: &str = "target/release/cornelwinchd";
 
 /// Times of the site `qalam-search`, and of `rafeed-search`.
@@ -99,7 +107,15 @@
     pub fn start_process(&mut self) {
         let log = File::options().create(true).append(true).open(&self.log);
         let log = log.expect("the temporary folder is writable");
-        let child = Command::new(PROGRAM)
+        let mut command = Command::new(PROGRAM);
+        // The process ends with the case, also if the case is killed.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            })
+        };
+        let child = command
             .arg("--relay")
             .env("CORNELWINCH_CONFIG", &self.file)
             .stdin(Stdio::null())
