review: cases 9 and 10 stay inside the doses of the site files

Cause: confirming the claims showed that case 9 repeated a request sixty times, where `retry_abuse` has x 3.0, and that case 10 added all spare machines, where `add_nodes` has share 0.92 at most. Change: case 9 sends the request twice, with three repeats at once; case 10 adds two of three spare machines.

--- a/review/standins-2/cold_growth.rs
+++ b/review/standins-2/cold_growth.rs
@@ -17,15 +17,14 @@
 /// Age of the data that the store returns to serializable reads; the pages say "seconds old".
 const STALE_BY: Duration = Duration::from_secs(3);
 
-/// The machines of the site `rafeed-search` and added ones, with their zones.
+/// The machines of the site `rafeed-search` and two of its three spare ones, with their zones.
 const MACHINES: [(&str, &str); 4] = [
     ("front-marka-1", "marka"),
     ("front-marka-2", "marka"),
     ("front-sweileh-1", "sweileh"),
     ("front-tlaa-ali-1", "tlaa-ali"),
 ];
-const SPARE: [(&str, &str); 3] = [
-    ("front-marka-3", "marka"),
+const SPARE: [(&str, &str); 2] = [
     ("front-sweileh-2", "sweileh"),
     ("front-tlaa-ali-2", "tlaa-ali"),
 ];
@@ -76,7 +75,7 @@
     sleep(Duration::from_secs(18));
     let mut added = Vec::new();
     if setup.has_trouble {
-        record.show("three machines are added");
+        record.show("two machines are added");
         added = start_all(&SPARE);
         if !are_ready(&added) {
             return Verdict::CouldNotRun("an added machine is not ready".to_owned());
--- a/review/standins-2/crash_marks.rs
+++ b/review/standins-2/crash_marks.rs
@@ -91,8 +91,10 @@
             in_touch_from = Instant::now() + STABLE_WINDOW;
         }
         sleep(Duration::from_secs(6));
-        record.show("the request that crashes leafs comes again, sixty times in 6 s");
-        for attempt in 0..60 {
+        record.show(
+            "the request that crashes leafs comes twice, each time with three repeats at once",
+        );
+        for attempt in 0..8 {
             let relay = &relays[(attempt + round) % relays.len()];
             let id = format!("x{round}-{attempt}");
             let at = Instant::now();
@@ -107,7 +109,8 @@
             let answer = call(relay.caller, "GET", "/titles/crash", &headers, &[], wait);
             let status = answer.map_or(0, |answer| answer.status);
             record.line(&format!("requester got id={id} status={status}"));
-            sleep((at + Duration::from_millis(100)).saturating_duration_since(Instant::now()));
+            let gap = if attempt == 3 { 2_500 } else { 100 };
+            sleep((at + Duration::from_millis(gap)).saturating_duration_since(Instant::now()));
         }
         sleep(Duration::from_secs(5));
     }
