relay: repeat a failed watch without waiting for other kinds

Cause: after a failed call, all kinds but the desired state waited until the store answered another call. When the store cuts a single watch, all other watches are waiting too, and probes and host lists pause, so this took up to the wait of a watch. It then counted as an outage, and upstreams without an entry stayed in use for 2.3 s more.

Change: the kinds whose calls failed take turns to call the store, one at a time, with the same pauses. A list counts as an answer from its first page on.

--- a/crates/cornelwinch_relay/src/follow.rs
+++ b/crates/cornelwinch_relay/src/follow.rs
@@ -8,6 +8,7 @@
 use crate::dialect::{ObjectKind, ObjectPage, ObjectProblem, StoreObject};
 use crate::shared::Shared;
 use crate::store::{StoreClient, StoreError};
+use crate::store_health::RetryTurn;
 
 /// Pause after a watch that returned changes. Each call to the store has a cost, so upstreams that
 /// start or leave together should arrive in one answer.
@@ -16,9 +17,6 @@
 /// Timeout of calls to the store other than watches.
 pub(crate) const STORE_CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-const MIN_BACKOFF: Duration = Duration::from_millis(50);
-const MAX_BACKOFF: Duration = Duration::from_millis(700);
-
 /// Interval at which tasks that wait for the store to recover check its health.
 const STORE_HEALTH_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -64,8 +62,8 @@
 /// Keeps one object kind up to date with a list followed by watches.
 async fn follow_kind(shared: Rc<Shared>, kind: ObjectKind) {
     let mut client = StoreClient::new(shared.settings.borrow().store);
-    let mut backoff = MIN_BACKOFF;
     let mut revision = None;
+    let mut turn: Option<RetryTurn<'_>> = None;
     // An earlier follower may have been aborted.
     shared.store_health.record_listed(kind);
     loop {
@@ -92,13 +90,16 @@
             Ok(next) => {
                 revision = Some(next);
                 shared.store_health.record_listed(kind);
-                backoff = MIN_BACKOFF;
+                if let Some(turn) = turn.take() {
+                    turn.succeed();
+                }
             }
             Err(StoreError::Status {
                 status: StatusCode::GONE,
             }) => {
                 log::info!("event=store_history_gone kind={kind:?}");
                 revision = None;
+                turn = None;
             }
             Err(error) => {
                 log::info!("event=store_failed kind={kind:?} revision={revision:?} {error}");
@@ -111,12 +112,9 @@
                     core.metrics.store_failures += 1;
                     core.rng.f64() * 0.5 + 0.75
                 };
-                sleep(backoff.mul_f64(jitter)).await;
-                backoff = (backoff * 2).min(MAX_BACKOFF);
-                // Each call has a cost, so only one kind calls the store until it recovers.
-                while kind != ObjectKind::DesiredState && shared.store_health.is_failing() {
-                    sleep(STORE_HEALTH_POLL_INTERVAL).await;
-                }
+                // The next turn may be another kind's.
+                drop(turn.take());
+                turn = shared.store_health.retry_turn(jitter).await;
             }
         }
     }
@@ -225,6 +223,8 @@
         shared.core.borrow_mut().metrics.store_calls += 1;
         let path = (shared.dialect.store.list_path)(kind, after.as_deref(), stale);
         let body = client.get(&path, STORE_CALL_TIMEOUT).await?;
+        // A long list must not count as an outage until its last page.
+        shared.store_health.record_success(Instant::now());
         let page = (shared.dialect.store.decode_page)(kind, &body)
             .map_err(|reason| StoreError::Decode { reason })?;
         if page.next.is_some() && page.next <= after {
--- a/crates/cornelwinch_relay/src/store_health.rs
+++ b/crates/cornelwinch_relay/src/store_health.rs
@@ -1,7 +1,8 @@
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 
-use tokio::sync::Notify;
+use tokio::sync::{Mutex, MutexGuard, Notify};
+use tokio::time::sleep;
 
 use crate::dialect::ObjectKind;
 use crate::feed_message::FED_KINDS;
@@ -12,6 +13,20 @@
 /// Shortest store outage during which registrations may have expired.
 const MIN_OUTAGE: Duration = Duration::from_millis(700);
 
+const MIN_BACKOFF: Duration = Duration::from_millis(50);
+const MAX_BACKOFF: Duration = Duration::from_millis(700);
+
+/// Turn of one task to call the store while it fails. The turn ends when this is dropped.
+#[derive(Debug)]
+pub(crate) struct RetryTurn<'a>(MutexGuard<'a, Duration>);
+
+impl RetryTurn<'_> {
+    /// Records that the store answered the call of this turn.
+    pub(crate) fn succeed(mut self) {
+        *self.0 = Duration::ZERO;
+    }
+}
+
 /// Health of the store, derived from the results of this host's calls.
 #[derive(Debug, Default)]
 pub(crate) struct StoreHealth {
@@ -22,6 +37,9 @@
     unlisted_since: [Cell<Option<Instant>>; FED_KINDS.len()],
     /// Notified when a probe finds that the store cannot be reached.
     lost: Notify,
+    /// Last pause before a call while the store fails; zero before the first one. Locked by the task
+    /// whose turn it is.
+    retry_pause: Mutex<Duration>,
 }
 
 impl StoreHealth {
@@ -56,6 +74,21 @@
         self.lost.notified().await;
     }
 
+    /// Waits after a failed call until the task may call the store again. While the store fails,
+    /// only one task at a time pauses and calls, since each call has a cost; the others get their
+    /// turn after it. No task relies on the calls of another one, which may all be waiting watches.
+    /// Returns `None` if the store has answered meanwhile.
+    pub(crate) async fn retry_turn(&self, jitter: f64) -> Option<RetryTurn<'_>> {
+        let mut pause = self.retry_pause.lock().await;
+        if !self.is_failing() {
+            *pause = Duration::ZERO;
+            return None;
+        }
+        *pause = (*pause * 2).clamp(MIN_BACKOFF, MAX_BACKOFF);
+        sleep(pause.mul_f64(jitter)).await;
+        Some(RetryTurn(pause))
+    }
+
     /// Returns true if the last call failed.
     pub(crate) fn is_failing(&self) -> bool {
         self.failing_since.get().is_some()
