relay: count crashes that end no connection

Cause: only legs whose connection ended were counted. A host that loses power ends none; its legs were dropped at their deadline.

Change: a leg that is dropped without an answer makes this host connect to the upstream, and a refusal counts as a crash. Slow upstreams accept and cut links do not answer, so they are not counted. Log lines tell how a leg ended, what the check showed and what is known of the request.

--- a/crates/cornelwinch_relay/src/crash_check.rs
+++ b/crates/cornelwinch_relay/src/crash_check.rs
@@ -1,12 +1,12 @@
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use cornelwinch_routing::{RequestFingerprint, UpstreamEndpoint};
+use cornelwinch_routing::{Route, UpstreamEndpoint};
 use cornelwinch_types::{Fingerprint, Name};
-use hyper::header::HeaderValue;
 use tokio::time::sleep;
 
+use crate::leg::OutgoingRequest;
 use crate::shared::Shared;
 
 /// Time after the end of a connection at which its upstream is checked. A crashed upstream refuses
@@ -17,51 +17,149 @@
 /// count as cut only.
 const MAX_CRASH_CHECKS: usize = 64;
 
-/// A request whose leg ended before the end of the answer.
+/// Maximum number of silent legs whose upstreams are checked at the same time. Each check opens a
+/// connection, and an overloaded upstream leaves many legs unanswered.
+const MAX_SILENCE_CHECKS: usize = 4;
+
+/// Time for which a check of a silent leg counts as in progress, at least.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// A leg during which its upstream may have crashed.
 #[derive(Debug)]
-pub(crate) struct CutRequest {
-    pub(crate) fingerprint: RequestFingerprint,
-    pub(crate) attempt: Fingerprint,
-    pub(crate) id: HeaderValue,
-    pub(crate) route: Name,
+struct EndedLeg {
+    out: Rc<OutgoingRequest>,
+    route: Name,
+    upstream: UpstreamEndpoint,
+}
+
+impl EndedLeg {
+    fn new(out: &Rc<OutgoingRequest>, route: &Route, upstream: &UpstreamEndpoint) -> Self {
+        Self {
+            out: out.clone(),
+            route: route.name.clone(),
+            upstream: upstream.clone(),
+        }
+    }
+
+    fn upstream_print(&self) -> Fingerprint {
+        Fingerprint::of_bytes(b"upstream", self.upstream.name.as_bytes())
+    }
 }
 
-/// Records a leg that was cut, then finds out in the background whether its upstream crashed: only
-/// a crashed one refuses connections. Broken links and faulty upstreams also cut legs.
-pub(crate) fn record_cut(shared: &Rc<Shared>, cut: CutRequest, upstream: UpstreamEndpoint) {
-    let name = Fingerprint::of_bytes(b"upstream", upstream.name.as_bytes());
+/// Records a leg whose connection ended before the end of the answer, then finds out in the
+/// background whether its upstream crashed: only a crashed one refuses connections. Broken links
+/// and faulty upstreams also cut legs.
+pub(crate) fn record_cut(
+    shared: &Rc<Shared>,
+    out: &Rc<OutgoingRequest>,
+    route: &Route,
+    upstream: &UpstreamEndpoint,
+) {
+    let leg = EndedLeg::new(out, route, upstream);
     let mut core = shared.core.borrow_mut();
     let tracker = &mut core.crash_tracker;
-    let is_marked = tracker.record_cut(Instant::now(), cut.fingerprint, cut.attempt, name);
-    let is_suspect = tracker.is_suspect(cut.fingerprint);
+    let (now, print) = (Instant::now(), leg.upstream_print());
+    let is_marked = tracker.record_cut(now, out.fingerprint, out.attempt, print);
+    let is_suspect = tracker.is_suspect(out.fingerprint);
     drop(core);
     if is_marked {
-        log_mark(&cut);
+        log_mark(shared, &leg);
     }
-    if !is_suspect || shared.crash_checks.get() >= MAX_CRASH_CHECKS {
+    if !is_suspect {
+        return;
+    }
+    if shared.crash_checks.get() >= MAX_CRASH_CHECKS {
+        log_check(shared, &leg, "cut", "skipped");
         return;
     }
     shared.crash_checks.set(shared.crash_checks.get() + 1);
     let shared = shared.clone();
     tokio::task::spawn_local(async move {
         sleep(CRASH_CHECK_DELAY).await;
-        let result = shared.pool.try_connect(&upstream).await;
+        check(&shared, &leg, "cut").await;
         shared.crash_checks.set(shared.crash_checks.get() - 1);
-        if !result.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused) {
-            return;
-        }
-        let mut core = shared.core.borrow_mut();
-        let tracker = &mut core.crash_tracker;
-        if tracker.record_disconnect(Instant::now(), cut.fingerprint, cut.attempt, name) {
-            log_mark(&cut);
-        }
     });
 }
 
-fn log_mark(cut: &CutRequest) {
+/// Finds out in the background whether the upstream of a leg that ended without an answer has
+/// crashed. A host that loses power ends no connection, so its legs are silent until they are
+/// dropped. Silence alone is no sign, since slow upstreams and cut links cause it too; these do not
+/// refuse connections.
+pub(crate) fn check_silent_leg(
+    shared: &Rc<Shared>,
+    out: &Rc<OutgoingRequest>,
+    route: &Route,
+    upstream: &UpstreamEndpoint,
+) {
+    let now = Instant::now();
+    let core = shared.core.borrow();
+    let was_answered = core.crash_tracker.was_answered(now, out.fingerprint);
+    drop(core);
+    if was_answered || shared.silence_checks.get() >= MAX_SILENCE_CHECKS {
+        return;
+    }
+    shared.silence_checks.set(shared.silence_checks.get() + 1);
+    let leg = EndedLeg::new(out, route, upstream);
+    let shared = shared.clone();
+    tokio::task::spawn_local(async move {
+        check(&shared, &leg, "silent").await;
+        sleep(SILENCE_CHECK_INTERVAL).await;
+        shared.silence_checks.set(shared.silence_checks.get() - 1);
+    });
+}
+
+/// Connects to the upstream of a leg and records a crash if it refuses the connection.
+async fn check(shared: &Shared, leg: &EndedLeg, end: &str) {
+    let result = shared.pool.try_connect(&leg.upstream).await;
+    let is_crash = is_refused(&result);
+    let result = match &result {
+        Ok(()) => "accepted".to_owned(),
+        Err(error) => format!("{:?}", error.kind()),
+    };
+    let is_marked = is_crash
+        && shared.core.borrow_mut().crash_tracker.record_disconnect(
+            Instant::now(),
+            leg.out.fingerprint,
+            leg.out.attempt,
+            leg.upstream_print(),
+        );
+    // A silent leg of an upstream that accepts connections is an ordinary slow one.
+    if is_crash || end != "silent" {
+        log_check(shared, leg, end, &result);
+    }
+    if is_marked {
+        log_mark(shared, leg);
+    }
+}
+
+fn is_refused(result: &io::Result<()>) -> bool {
+    matches!(result, Err(error) if error.kind() == ErrorKind::ConnectionRefused)
+}
+
+/// Logs a check with what is known of the request, subject to the rate limit on lines about legs.
+fn log_check(shared: &Shared, leg: &EndedLeg, end: &str, result: &str) {
+    let mut core = shared.core.borrow_mut();
+    if core.leg_log_limit.take(Instant::now()) {
+        log::info!(
+            "event=crash_check id={:?} print={} upstream={} leg={end} result={result} {}",
+            leg.out.request_id,
+            leg.out.fingerprint,
+            leg.upstream.name,
+            core.crash_tracker.describe(leg.out.fingerprint)
+        );
+    }
+}
+
+fn log_mark(shared: &Shared, leg: &EndedLeg) {
     log::warn!(
-        "event=request_marked id={:?} route={} reason=crashes_upstreams",
-        cut.id,
-        cut.route
+        "event=request_marked id={:?} print={} route={} reason=crashes_upstreams {}",
+        leg.out.request_id,
+        leg.out.fingerprint,
+        leg.route,
+        shared
+            .core
+            .borrow()
+            .crash_tracker
+            .describe(leg.out.fingerprint)
     );
 }
--- a/crates/cornelwinch_relay/src/fetch.rs
+++ b/crates/cornelwinch_relay/src/fetch.rs
@@ -3,14 +3,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use cornelwinch_routing::{RepeatKind, RequestFingerprint, Route, UpstreamEndpoint, UpstreamId};
+use cornelwinch_routing::{RepeatKind, Route, UpstreamEndpoint, UpstreamId};
 use cornelwinch_types::Name;
 use futures_util::StreamExt;
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::FuturesUnordered;
 use tokio::time::{sleep, timeout};
 
-use crate::crash_check::{CutRequest, record_cut};
+use crate::crash_check::record_cut;
 use crate::leg::{LegOutcome, NotRunReason, OutgoingRequest, UpstreamAnswer, run_leg};
 use crate::shared::Shared;
 
@@ -36,7 +36,6 @@
     pub(crate) idempotent: bool,
     /// Delay after which a hedge is sent to a second upstream.
     pub(crate) hedge_after: Option<Duration>,
-    pub(crate) fingerprint: RequestFingerprint,
 }
 
 /// Outcome of all legs to one service.
@@ -159,7 +158,7 @@
             let core = self.shared.core.borrow();
             if core
                 .crash_tracker
-                .is_quarantined(Instant::now(), self.plan.fingerprint)
+                .is_quarantined(Instant::now(), self.out.fingerprint)
             {
                 self.not_run_reason = NotRunReason::CrashesUpstreams;
                 return false;
@@ -248,8 +247,14 @@
             LegOutcome::Answer(answer) => {
                 if answer.status.is_success() {
                     core.record_leg_time(&self.plan.route, sent_at.elapsed());
-                    core.crash_tracker
-                        .record_answer(Instant::now(), self.plan.fingerprint);
+                    let tracker = &mut core.crash_tracker;
+                    if tracker.record_answer(Instant::now(), self.out.fingerprint) {
+                        log::info!(
+                            "event=crash_suspicion_ended id={:?} print={} reason=answered",
+                            self.out.request_id,
+                            self.out.fingerprint
+                        );
+                    }
                 }
                 if !answer.status.is_server_error() || !self.plan.idempotent {
                     return Some(answer);
@@ -272,13 +277,7 @@
                 self.lost_reason = Some(reason);
                 self.note_unconnected(upstream.id);
                 drop(core);
-                let cut = CutRequest {
-                    fingerprint: self.plan.fingerprint,
-                    attempt: self.out.attempt,
-                    id: self.out.request_id.clone(),
-                    route: self.plan.route.name.clone(),
-                };
-                record_cut(&self.shared, cut, upstream.clone());
+                record_cut(&self.shared, &self.out, &self.plan.route, upstream);
             }
         }
         None
--- a/crates/cornelwinch_relay/src/handle.rs
+++ b/crates/cornelwinch_relay/src/handle.rs
@@ -281,6 +281,7 @@
         body,
         attempt: Fingerprint::of_bytes(b"attempt", request_id.as_bytes()),
         request_id,
+        fingerprint,
         deadline,
         leg_deadline,
         max_answer_bytes: max_answer_bytes(&route.target),
@@ -290,18 +291,18 @@
     match &route.target {
         Target::Service(service) => {
             let service = service.clone();
-            answer_single(shared, out, route, service, fingerprint).await
+            answer_single(shared, out, route, service).await
         }
         Target::Split(parts) => {
             let service = shared.core.borrow_mut().next_of_split(&route, parts);
             match service {
-                Some(service) => answer_single(shared, out, route, service, fingerprint).await,
+                Some(service) => answer_single(shared, out, route, service).await,
                 None => Reply::not_run("no_weight"),
             }
         }
         Target::Gather(plan) => {
             let plan = plan.clone();
-            answer_scatter(shared, out, route, plan, fingerprint, caller).await
+            answer_scatter(shared, out, route, plan, caller).await
         }
     }
 }
--- a/crates/cornelwinch_relay/src/leg.rs
+++ b/crates/cornelwinch_relay/src/leg.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use cornelwinch_routing::{Fleet, HealthSignal, Route, UpstreamEndpoint};
+use cornelwinch_routing::{Fleet, HealthSignal, RequestFingerprint, Route, UpstreamEndpoint};
 use cornelwinch_types::Fingerprint;
 use http_body_util::Full;
 use hyper::header::{self, HeaderValue};
@@ -11,6 +11,7 @@
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 
 use crate::body::{MAX_FRAMING_BYTES, TooLarge, read_body};
+use crate::crash_check::check_silent_leg;
 use crate::headers::{is_closing, keep_alive_timeout, millis, millis_value, retry_after};
 use crate::shared::Shared;
 use crate::thread_lag::LegLag;
@@ -35,6 +36,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) request_id: HeaderValue,
+    /// Fingerprint of the request's path and body.
+    pub(crate) fingerprint: RequestFingerprint,
     /// Fingerprint of the request ID of the caller's attempt; it is the same on every host.
     pub(crate) attempt: Fingerprint,
     pub(crate) deadline: Instant,
@@ -121,6 +124,7 @@
 /// Reports the end of a leg to the fleet, even if the leg's future is dropped.
 struct LegGuard {
     shared: Rc<Shared>,
+    out: Rc<OutgoingRequest>,
     upstream: UpstreamEndpoint,
     token: u64,
     sent_at: Instant,
@@ -157,11 +161,12 @@
             return;
         }
         let ratio = self.latency_ratio();
-        self.report(if ratio >= TIMED_OUT_LATENCY_RATIO {
-            HealthSignal::TimedOut { ratio }
-        } else {
-            HealthSignal::Neutral
-        });
+        if ratio < TIMED_OUT_LATENCY_RATIO {
+            self.report(HealthSignal::Neutral);
+            return;
+        }
+        self.report(HealthSignal::TimedOut { ratio });
+        check_silent_leg(&self.shared, &self.out, &self.route, &self.upstream);
     }
 }
 
@@ -185,6 +190,7 @@
     );
     let mut guard = LegGuard {
         shared: shared.clone(),
+        out: out.clone(),
         upstream: upstream.clone(),
         token,
         sent_at: now,
--- a/crates/cornelwinch_relay/src/scatter.rs
+++ b/crates/cornelwinch_relay/src/scatter.rs
@@ -4,9 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use cornelwinch_routing::{
-    Caller, GatherOutcome, GatherPlan, RequestFingerprint, Route, TopKMerge,
-};
+use cornelwinch_routing::{Caller, GatherOutcome, GatherPlan, Route, TopKMerge};
 use cornelwinch_types::Name;
 use futures_util::StreamExt;
 use futures_util::future::LocalBoxFuture;
@@ -52,7 +50,6 @@
     out: Rc<OutgoingRequest>,
     route: Arc<Route>,
     plan: GatherPlan,
-    fingerprint: RequestFingerprint,
     caller: Caller,
 ) -> Reply {
     let arrived = Instant::now();
@@ -86,7 +83,6 @@
                 service: shard.clone(),
                 idempotent: true,
                 hedge_after: Some(hedge_after),
-                fingerprint,
             };
             let future: LocalBoxFuture<_> = Box::pin(fetch(shared.clone(), out.clone(), plan));
             future
--- a/crates/cornelwinch_relay/src/shared.rs
+++ b/crates/cornelwinch_relay/src/shared.rs
@@ -60,6 +60,8 @@
     pub(crate) has_marks: Cell<bool>,
     /// Number of checks in progress whether an upstream crashed.
     pub(crate) crash_checks: Cell<usize>,
+    /// Number of checks in progress whether the upstream of a silent leg crashed.
+    pub(crate) silence_checks: Cell<usize>,
     pub(crate) coordination: Coordination,
     is_source: Cell<bool>,
     /// Time of the last valid heartbeat from the source that feeds this host.
@@ -92,6 +94,7 @@
             started: Instant::now(),
             has_marks: Cell::new(false),
             crash_checks: Cell::new(0),
+            silence_checks: Cell::new(0),
             coordination: Coordination::default(),
             is_source: Cell::new(false),
             last_feed: Cell::new(None),
@@ -217,10 +220,9 @@
         for report in reports {
             if core.crash_tracker.record_report(now, report) {
                 log::warn!(
-                    "event=request_marked print={:?} reason=reported upstreams={} attempts={}",
+                    "event=request_marked print={} reason=reported {}",
                     report.fingerprint,
-                    report.upstreams.len(),
-                    report.attempts.len()
+                    core.crash_tracker.describe(report.fingerprint)
                 );
             }
         }
--- a/crates/cornelwinch_relay/src/single.rs
+++ b/crates/cornelwinch_relay/src/single.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use cornelwinch_routing::{RequestFingerprint, Route, RouteKind};
+use cornelwinch_routing::{Route, RouteKind};
 use cornelwinch_types::Name;
 use tokio::time::timeout_at;
 
@@ -20,7 +20,6 @@
     out: Rc<OutgoingRequest>,
     route: Arc<Route>,
     service: Name,
-    fingerprint: RequestFingerprint,
 ) -> Reply {
     shared.count_request(&service);
     if let Some(reply) = refuse_unserved(&shared, &service) {
@@ -32,7 +31,6 @@
         route,
         service,
         idempotent,
-        fingerprint,
     };
     let deadline = out.deadline;
     let service = plan.service.clone();
--- a/crates/cornelwinch_routing/src/crashes.rs
+++ b/crates/cornelwinch_routing/src/crashes.rs
@@ -205,6 +205,20 @@
         self.record_loss(now, fingerprint, attempt, upstream, false)
     }
 
+    /// Formats what is known of a request as key=value pairs for the log.
+    pub fn describe(&self, fingerprint: RequestFingerprint) -> String {
+        let suspect = self.suspects.get(&fingerprint);
+        let count = |list: fn(&Suspect) -> usize| suspect.map_or(0, list);
+        format!(
+            "crashes={} cuts={} attempts={} releases={} quarantined={}",
+            count(|s| s.upstreams.len()),
+            count(|s| s.cuts.len()),
+            count(|s| s.attempts.len()),
+            count(|s| s.releases as usize),
+            suspect.is_some_and(Suspect::is_quarantined)
+        )
+    }
+
     /// Returns true if the request was cut and has not been answered since.
     pub fn is_suspect(&self, fingerprint: RequestFingerprint) -> bool {
         self.suspects.get(&fingerprint).is_some()
@@ -324,9 +338,7 @@
         seen: Instant,
         fingerprint: RequestFingerprint,
     ) -> Option<&mut Suspect> {
-        let is_recent = |at: Instant| now.saturating_duration_since(at) < RECORD_TTL;
-        let answered = self.answered[fingerprint.slot(ANSWER_SLOTS)];
-        if answered.is_some_and(|(known, at)| known == fingerprint && is_recent(at)) {
+        if self.was_answered(now, fingerprint) {
             return None;
         }
         if self.suspects.len() >= MAX_SUSPECTS {
@@ -353,13 +365,25 @@
         Some(suspect)
     }
 
-    /// Records an answer and removes the request from the suspects.
-    pub fn record_answer(&mut self, now: Instant, fingerprint: RequestFingerprint) {
+    /// Returns true if an upstream has recently answered the request, as far as is known here.
+    pub fn was_answered(&self, now: Instant, fingerprint: RequestFingerprint) -> bool {
+        let answered = self.answered[fingerprint.slot(ANSWER_SLOTS)];
+        answered.is_some_and(|(known, at)| {
+            known == fingerprint && now.saturating_duration_since(at) < RECORD_TTL
+        })
+    }
+
+    /// Records an answer and removes the request from the suspects. Returns true if it was one.
+    pub fn record_answer(&mut self, now: Instant, fingerprint: RequestFingerprint) -> bool {
         let suspect = self.suspects.remove(&fingerprint);
-        if suspect.is_some_and(|suspect| suspect.releases > 0) {
+        self.set_answered(now, fingerprint);
+        let Some(suspect) = suspect else {
+            return false;
+        };
+        if suspect.releases > 0 {
             self.cleared.push(fingerprint);
         }
-        self.set_answered(now, fingerprint);
+        true
     }
 
     fn set_answered(&mut self, now: Instant, fingerprint: RequestFingerprint) {
--- a/crates/cornelwinch_types/src/fingerprint.rs
+++ b/crates/cornelwinch_types/src/fingerprint.rs
@@ -1,3 +1,5 @@
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_128;
 
@@ -38,3 +40,10 @@
         low % len
     }
 }
+
+/// Formats the hash as 32 hexadecimal digits.
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
