relay: send crash reports again that reached no host

Cause: a report was sent once, to the two sources known at that time, and forgotten whether or not one of them got it. While neither could be reached, no host got it.

Change: a report stays due until a host has got it.

--- a/crates/cornelwinch_routing/src/crashes.rs
+++ b/crates/cornelwinch_routing/src/crashes.rs
@@ -311,6 +311,17 @@
         reports
     }
 
+    /// Makes reports due again that reached no other host.
+    pub fn restore_reports(&mut self, reports: &[CrashReport]) {
+        for report in reports {
+            if report.is_answered {
+                self.cleared.push(report.fingerprint);
+            } else if let Some(suspect) = self.suspects.get_mut(&report.fingerprint) {
+                suspect.is_unreported = true;
+            }
+        }
+    }
+
     /// Returns reports of the requests that were seen last, for a host that has just started.
     pub fn copy_marks(&self, now: Instant) -> Vec<CrashReport> {
         let live = self.suspects.iter().filter(|(_, s)| !s.is_expired(now));
