relay: keep marks of crashing requests in the store

Cause: marks were held in the memory of the processes only; a new process gets them from other processes, and none was left.

Change: hosts that follow the store write each mark to it, read the marks when they begin to follow it and then each 4 s (from data that may be seconds old), and tell the hosts that they feed. A mark is written once, again when a release has prolonged it, and removed when it ends.

--- a/crates/cornelwinch_relay/src/apply.rs
+++ b/crates/cornelwinch_relay/src/apply.rs
@@ -22,14 +22,17 @@
         match kind {
             ObjectKind::DesiredState => apply_desired(shared, item),
             ObjectKind::Upstreams => apply_upstream(shared, item, keep_missing),
-            ObjectKind::Evacuations | ObjectKind::Hosts | ObjectKind::Rollouts => {}
+            ObjectKind::Evacuations
+            | ObjectKind::Hosts
+            | ObjectKind::Rollouts
+            | ObjectKind::Marks => {}
         }
     }
     match kind {
         ObjectKind::Evacuations => apply_evacuations(shared),
         ObjectKind::Hosts => apply_hosts(shared),
         ObjectKind::Rollouts => apply_rollouts(shared),
-        ObjectKind::DesiredState | ObjectKind::Upstreams => {}
+        ObjectKind::DesiredState | ObjectKind::Upstreams | ObjectKind::Marks => {}
     }
 }
 
--- a/crates/cornelwinch_relay/src/dialect.rs
+++ b/crates/cornelwinch_relay/src/dialect.rs
@@ -1,6 +1,9 @@
 use std::time::Duration;
 
-use cornelwinch_routing::{DesiredState, HostEntry, RolloutOrder, RolloutState, UpstreamEntry};
+use cornelwinch_routing::{
+    CrashReport, DesiredState, HostEntry, RequestFingerprint, RolloutOrder, RolloutState,
+    UpstreamEntry,
+};
 use cornelwinch_types::Name;
 use hyper::header::HeaderName;
 use serde::{Deserialize, Serialize};
@@ -58,6 +61,8 @@
     Hosts,
     /// The orders to move a service to another version.
     Rollouts,
+    /// The requests that crash upstreams. This kind is defined by this project too.
+    Marks,
 }
 
 /// Paths, requests and decoders of the platform's store.
@@ -80,6 +85,12 @@
     pub remove_host: fn(host: &Name, revision: u64) -> WriteRequest,
     /// Returns the request that writes the state of an order under its revision.
     pub write_rollout: fn(order: &RolloutOrder, state: RolloutState) -> WriteRequest,
+    /// Returns the request that creates the mark of a request that crashes upstreams.
+    pub create_mark: fn(mark: &CrashReport) -> WriteRequest,
+    /// Returns the request that replaces such a mark.
+    pub replace_mark: fn(mark: &CrashReport) -> WriteRequest,
+    /// Returns the request that removes such a mark.
+    pub remove_mark: fn(fingerprint: RequestFingerprint) -> WriteRequest,
     /// Decodes one page of a list.
     pub decode_page: fn(kind: ObjectKind, body: &[u8]) -> Result<ObjectPage, String>,
     /// Decodes the changes that a watch returns; `next` of the returned page is `None`.
@@ -150,6 +161,8 @@
     Host(HostEntry),
     /// An order to move a service to another version.
     Rollout(RolloutOrder),
+    /// A request that crashes upstreams.
+    Mark(CrashReport),
     /// An object that carries no data beyond its name, such as an evacuated zone.
     Present,
     /// An object that could not be decoded, with the reason.
--- a/crates/cornelwinch_relay/src/follow.rs
+++ b/crates/cornelwinch_relay/src/follow.rs
@@ -9,6 +9,7 @@
 use crate::shared::Shared;
 use crate::store::{StoreClient, StoreError};
 use crate::store_health::RetryTurn;
+use crate::stored_marks::follow_marks;
 
 /// Pause after a watch that returned changes. Each call to the store has a cost, so upstreams that
 /// start or leave together should arrive in one answer.
@@ -46,6 +47,7 @@
         .collect();
         tasks.push(tokio::task::spawn_local(follow_hosts(shared.clone())));
         tasks.push(tokio::task::spawn_local(probe_store(shared.clone())));
+        tasks.push(tokio::task::spawn_local(follow_marks(shared.clone())));
         Self(tasks)
     }
 }
@@ -211,7 +213,8 @@
     }
 }
 
-async fn list(
+/// Reads all pages of a kind.
+pub(crate) async fn list(
     shared: &Shared,
     client: &mut StoreClient,
     kind: ObjectKind,
--- a/crates/cornelwinch_relay/src/lib.rs
+++ b/crates/cornelwinch_relay/src/lib.rs
@@ -46,6 +46,7 @@
 mod single;
 mod store;
 mod store_health;
+mod stored_marks;
 mod subscribe;
 mod sync;
 mod thread_lag;
--- a/crates/cornelwinch_relay/src/marks.rs
+++ b/crates/cornelwinch_relay/src/marks.rs
@@ -57,6 +57,7 @@
     let this_host = shared.settings.borrow().host.clone();
     let mut asked: Vec<Name> = Vec::new();
     let mut pause = FIRST_PAUSE;
+    let mut is_settled = false;
     while !shared.has_marks.get() {
         sleep(pause).await;
         let hosts = shared.hosts.borrow().clone();
@@ -76,13 +77,20 @@
             others.rotate_left(first);
         }
         others.truncate(HOSTS_PER_ROUND);
-        if ask(&shared, others, &mut asked).await {
+        is_settled = ask(&shared, others, &mut asked).await;
+        if is_settled {
             break;
         }
         pause = (pause * 2).min(MAX_PAUSE);
     }
-    log::info!("event=marks_known unsettled_hosts={}", asked.len());
-    shared.has_marks.set(true);
+    // If all hosts have just started, the marks in the store are what is left.
+    log::info!(
+        "event=marks_asked is_settled={is_settled} unsettled_hosts={}",
+        asked.len()
+    );
+    if is_settled {
+        shared.has_marks.set(true);
+    }
 }
 
 /// Asks hosts one after the other. Returns true once one has answered that has the marks of others.
--- a/crates/cornelwinch_relay/src/operator.rs
+++ b/crates/cornelwinch_relay/src/operator.rs
@@ -77,7 +77,7 @@
     let core = shared.core.borrow();
     let version = core.table.as_ref().map_or(0, |table| table.version());
     let mut lines = vec![format!(
-        "version={version} hosts={} source={} feeds={} knowledge_age={:?} stopping={} active={} answer_bytes={} evacuated={:?}",
+        "version={version} hosts={} source={} feeds={} knowledge_age={:?} stopping={} active={} answer_bytes={} marks={} evacuated={:?}",
         core.host_count(),
         shared.is_source(),
         shared.feed.receiver_count(),
@@ -85,6 +85,7 @@
         shared.is_stopping(),
         shared.active.get(),
         shared.answer_memory.used(),
+        core.crash_tracker.quarantined(now).len(),
         core.fleet.evacuated_zones(),
     )];
     let hosts = shared.hosts.borrow();
--- a/crates/cornelwinch_relay/src/shared.rs
+++ b/crates/cornelwinch_relay/src/shared.rs
@@ -56,7 +56,7 @@
     pub(crate) feed: broadcast::Sender<Bytes>,
     /// Time at which this process started.
     started: Instant,
-    /// True once this host has asked the others which requests crash upstreams.
+    /// True once this host has got from others, or from the store, which requests crash upstreams.
     pub(crate) has_marks: Cell<bool>,
     /// Number of checks in progress whether an upstream crashed.
     pub(crate) crash_checks: Cell<usize>,
--- a/crates/cornelwinch_routing/src/crashes.rs
+++ b/crates/cornelwinch_routing/src/crashes.rs
@@ -331,6 +331,15 @@
         marks
     }
 
+    /// Returns the quarantined requests, as they are stored.
+    pub fn quarantined(&self, now: Instant) -> Vec<CrashReport> {
+        self.suspects
+            .iter()
+            .filter(|(_, suspect)| suspect.is_quarantined() && !suspect.is_expired(now))
+            .map(|(fingerprint, suspect)| suspect.report(now, *fingerprint))
+            .collect()
+    }
+
     /// Sets the place of this host in an order of all hosts, and their number. It decides which
     /// host first releases a request whose quarantine ends on all hosts at once.
     pub fn set_place(&mut self, place: usize, hosts: usize) {
--- a/crates/cornelwinch_routing/src/lib.rs
+++ b/crates/cornelwinch_routing/src/lib.rs
@@ -26,6 +26,7 @@
 mod rollout;
 mod round_robin;
 mod sources;
+mod stored_marks;
 mod sync_timing;
 mod table;
 mod timeliness;
@@ -61,6 +62,7 @@
 };
 pub use round_robin::WeightedRoundRobin;
 pub use sources::{HostEntry, source_count, source_order};
+pub use stored_marks::{MarkChange, StoredMarks};
 pub use sync_timing::{StoreProbe, SyncTiming};
 pub use table::{RouteLookup, RouteTable};
 pub use timeliness::TimeBudgets;
--- a/crates/cornelwinch_types/src/fingerprint.rs
+++ b/crates/cornelwinch_types/src/fingerprint.rs
@@ -1,4 +1,6 @@
 use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_128;
@@ -47,3 +49,12 @@
         write!(f, "{:032x}", self.0)
     }
 }
+
+/// Parses a hash as its `Display` writes it.
+impl FromStr for Fingerprint {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u128::from_str_radix(text, 16).map(Self)
+    }
+}
