relay: refuse statuses that HTTP does not have

Cause: the HTTP library refuses a status below 100 as malformed, but accepts 100 to 999 and takes 101 as a complete response, and the relay passed on what promises nothing.

Change: an answer with a status outside 200 to 599 may have run and is passed on to no caller; a request that may be repeated goes to another upstream.

--- a/crates/cornelwinch_relay/src/verdict.rs
+++ b/crates/cornelwinch_relay/src/verdict.rs
@@ -1,3 +1,5 @@
+use std::ops::RangeInclusive;
+
 use hyper::StatusCode;
 
 use crate::leg::NotRunReason;
@@ -13,11 +15,18 @@
     MayHaveRun(&'static str),
 }
 
+/// Statuses of complete HTTP responses (RFC 9110, section 15).
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Decides what an answer states. `docs/platform.md` has the table of all cases.
 ///
 /// A caller takes some statuses as a guarantee that its request has not run and never will. An
 /// upstream that ran the request can fail with one of them, so a stamped one is not passed on.
 pub(crate) fn judge(status: StatusCode, is_stamped: bool, is_not_executed: bool) -> Verdict {
+    // The HTTP library accepts 100 to 999, and takes 101 as a complete response.
+    if !FINAL_STATUSES.contains(&status.as_u16()) {
+        return Verdict::MayHaveRun("invalid_status");
+    }
     if status == StatusCode::MISDIRECTED_REQUEST && !is_stamped {
         return Verdict::NotRun(NotRunReason::Misdirected);
     }
