relay: decide on a late request in a stop once its body is there

What callers saw: 504 for a request that may not be repeated, passed on shortly before the process stopped (reported for other systems as requests cut late in the grace time, LOST).

Cause: whether a request can meet its goal before the stop was decided when its head was read. A body that came later, or never, was not considered.

Change: the decision is repeated when the body is complete, and a request without its whole body is refused as not run when the process stops.

--- a/crates/cornelwinch_relay/src/handle.rs
+++ b/crates/cornelwinch_relay/src/handle.rs
@@ -176,10 +176,11 @@
     Ok(response)
 }
 
-/// Returns true if this host stops before the goal of the route has elapsed.
+/// Returns true if this host stops before the goal of the route has elapsed, so that a request that
+/// is passed on now could end without an upstream's answer.
 fn stops_before_goal(shared: &Shared, route: &Route, now: Instant) -> bool {
     let stop_at = shared.stop_at.get();
-    stop_at.is_some_and(|at| at.saturating_duration_since(now) < route.goal)
+    stop_at.is_some_and(|at| at.saturating_duration_since(now) <= route.goal)
 }
 
 fn find_route(table: &RouteTable, request: &Request<Incoming>) -> Result<Arc<Route>, &'static str> {
@@ -240,10 +241,11 @@
         .min(route.timeout)
         .saturating_sub(ANSWER_RETURN_MARGIN);
     let (head, body) = request.into_parts();
-    let body = match Limited::new(body, table.limits().body_bytes)
-        .collect()
-        .await
-    {
+    let body = tokio::select! {
+        body = Limited::new(body, table.limits().body_bytes).collect() => body,
+        () = shared.stop_due() => return Reply::not_run("stopping"),
+    };
+    let body = match body {
         Ok(body) => body.to_bytes(),
         Err(error) if error.is::<http_body_util::LengthLimitError>() => {
             return Reply::rejected(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large");
@@ -253,6 +255,10 @@
             return Reply::rejected(StatusCode::BAD_REQUEST, "body_cut");
         }
     };
+    // The body may have come long after the head.
+    if stops_before_goal(shared, &route, Instant::now()) {
+        return Reply::not_run("stopping");
+    }
     let mut headers = head.headers;
     strip_hop_by_hop(&mut headers);
     sender.replace_key(&shared.dialect, &mut headers);
