relay: round up a Retry-After below a microsecond

What callers saw: a refusal with Retry-After 0.000, before the time at which they may return.

Cause: the wait was cut to whole microseconds before it was rounded up to milliseconds.

Change: the wait is rounded up from nanoseconds.

Evidence: by reading; a wait of 500 ns gave 0.000 and gives 0.001. The test is unchanged.

--- a/crates/cornelwinch_relay/src/answer.rs
+++ b/crates/cornelwinch_relay/src/answer.rs
@@ -69,7 +69,7 @@
     pub(crate) fn not_run_for(reason: &'static str, time: Duration) -> Self {
         let mut reply = Self::error(StatusCode::SERVICE_UNAVAILABLE, Outcome::NotRun, reason);
         // Rounded up, so that a caller does not return before the time.
-        let millis = time.as_micros().div_ceil(1_000);
+        let millis = time.as_nanos().div_ceil(1_000_000);
         let seconds = format!("{}.{:03}", millis / 1_000, millis % 1_000);
         let value = HeaderValue::from_str(&seconds).expect("digits are a valid value");
         reply
