relay: tidy the checks for crashes and the stored marks

Cause: read again as a newcomer: the end of a leg was text, one function listed, read and wrote marks, a mark under another spelling of its hash could not be removed, and a process that ends would have checked each leg that it drops.

--- a/crates/cornelwinch_relay/src/crash_check.rs
+++ b/crates/cornelwinch_relay/src/crash_check.rs
@@ -24,24 +24,40 @@
 /// Time for which a check of a silent leg counts as in progress, at least.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// How a leg ended during which its upstream may have crashed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LegEnd {
+    /// The connection ended before the end of the answer.
+    Cut,
+    /// The leg was dropped without an answer.
+    Silent,
+}
+
 /// A leg during which its upstream may have crashed.
 #[derive(Debug)]
 struct EndedLeg {
+    end: LegEnd,
     out: Rc<OutgoingRequest>,
     route: Name,
     upstream: UpstreamEndpoint,
 }
 
 impl EndedLeg {
-    fn new(out: &Rc<OutgoingRequest>, route: &Route, upstream: &UpstreamEndpoint) -> Self {
+    fn new(
+        end: LegEnd,
+        out: &Rc<OutgoingRequest>,
+        route: &Route,
+        upstream: &UpstreamEndpoint,
+    ) -> Self {
         Self {
+            end,
             out: out.clone(),
             route: route.name.clone(),
             upstream: upstream.clone(),
         }
     }
 
-    fn upstream_print(&self) -> Fingerprint {
+    fn upstream_fingerprint(&self) -> Fingerprint {
         Fingerprint::of_bytes(b"upstream", self.upstream.name.as_bytes())
     }
 }
@@ -55,11 +71,15 @@
     route: &Route,
     upstream: &UpstreamEndpoint,
 ) {
-    let leg = EndedLeg::new(out, route, upstream);
+    let leg = EndedLeg::new(LegEnd::Cut, out, route, upstream);
     let mut core = shared.core.borrow_mut();
     let tracker = &mut core.crash_tracker;
-    let (now, print) = (Instant::now(), leg.upstream_print());
-    let is_marked = tracker.record_cut(now, out.fingerprint, out.attempt, print);
+    let is_marked = tracker.record_cut(
+        Instant::now(),
+        out.fingerprint,
+        out.attempt,
+        leg.upstream_fingerprint(),
+    );
     let is_suspect = tracker.is_suspect(out.fingerprint);
     drop(core);
     if is_marked {
@@ -69,14 +89,14 @@
         return;
     }
     if shared.crash_checks.get() >= MAX_CRASH_CHECKS {
-        log_check(shared, &leg, "cut", "skipped");
+        log_check(shared, &leg, "skipped");
         return;
     }
     shared.crash_checks.set(shared.crash_checks.get() + 1);
     let shared = shared.clone();
     tokio::task::spawn_local(async move {
         sleep(CRASH_CHECK_DELAY).await;
-        check(&shared, &leg, "cut").await;
+        check(&shared, &leg).await;
         shared.crash_checks.set(shared.crash_checks.get() - 1);
     });
 }
@@ -91,25 +111,27 @@
     route: &Route,
     upstream: &UpstreamEndpoint,
 ) {
-    let now = Instant::now();
-    let core = shared.core.borrow();
-    let was_answered = core.crash_tracker.was_answered(now, out.fingerprint);
-    drop(core);
-    if was_answered || shared.silence_checks.get() >= MAX_SILENCE_CHECKS {
+    let is_answered = || {
+        let core = shared.core.borrow();
+        let tracker = &core.crash_tracker;
+        tracker.was_answered(Instant::now(), out.fingerprint)
+    };
+    // A process that ends drops all of its legs.
+    if shared.is_stopping() || shared.silence_checks.get() >= MAX_SILENCE_CHECKS || is_answered() {
         return;
     }
     shared.silence_checks.set(shared.silence_checks.get() + 1);
-    let leg = EndedLeg::new(out, route, upstream);
+    let leg = EndedLeg::new(LegEnd::Silent, out, route, upstream);
     let shared = shared.clone();
     tokio::task::spawn_local(async move {
-        check(&shared, &leg, "silent").await;
+        check(&shared, &leg).await;
         sleep(SILENCE_CHECK_INTERVAL).await;
         shared.silence_checks.set(shared.silence_checks.get() - 1);
     });
 }
 
 /// Connects to the upstream of a leg and records a crash if it refuses the connection.
-async fn check(shared: &Shared, leg: &EndedLeg, end: &str) {
+async fn check(shared: &Shared, leg: &EndedLeg) {
     let result = shared.pool.try_connect(&leg.upstream).await;
     let is_crash = is_refused(&result);
     let result = match &result {
@@ -121,11 +143,11 @@
             Instant::now(),
             leg.out.fingerprint,
             leg.out.attempt,
-            leg.upstream_print(),
+            leg.upstream_fingerprint(),
         );
     // A silent leg of an upstream that accepts connections is an ordinary slow one.
-    if is_crash || end != "silent" {
-        log_check(shared, leg, end, &result);
+    if is_crash || leg.end == LegEnd::Cut {
+        log_check(shared, leg, &result);
     }
     if is_marked {
         log_mark(shared, leg);
@@ -137,14 +159,15 @@
 }
 
 /// Logs a check with what is known of the request, subject to the rate limit on lines about legs.
-fn log_check(shared: &Shared, leg: &EndedLeg, end: &str, result: &str) {
+fn log_check(shared: &Shared, leg: &EndedLeg, result: &str) {
     let mut core = shared.core.borrow_mut();
     if core.leg_log_limit.take(Instant::now()) {
         log::info!(
-            "event=crash_check id={:?} print={} upstream={} leg={end} result={result} {}",
+            "event=crash_check id={:?} print={} upstream={} leg={:?} result={result} {}",
             leg.out.request_id,
             leg.out.fingerprint,
             leg.upstream.name,
+            leg.end,
             core.crash_tracker.describe(leg.out.fingerprint)
         );
     }
--- a/crates/cornelwinch_relay/src/handle.rs
+++ b/crates/cornelwinch_relay/src/handle.rs
@@ -242,6 +242,7 @@
         .saturating_sub(ANSWER_RETURN_MARGIN);
     let (head, body) = request.into_parts();
     let body = tokio::select! {
+        biased;
         body = Limited::new(body, table.limits().body_bytes).collect() => body,
         () = shared.stop_due() => return Reply::not_run("stopping"),
     };
--- a/crates/cornelwinch_relay/src/stored_marks.rs
+++ b/crates/cornelwinch_relay/src/stored_marks.rs
@@ -18,6 +18,9 @@
 /// costs a tenth of a call.
 const CHECKS_PER_LIST: u32 = 8;
 
+/// Number of such checks between two lists while they fail.
+const CHECKS_PER_FAILED_LIST: u32 = 4;
+
 /// Maximum number of marks that are written or removed in one check.
 const MAX_CHANGES: usize = 8;
 
@@ -28,7 +31,7 @@
     let mut client = StoreClient::new(shared.settings.borrow().store);
     let mut stored = StoredMarks::default();
     let mut is_listed = false;
-    let mut checks = 0;
+    let mut checks_to_list: u32 = 0;
     let mut ticks = interval(WRITE_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -36,52 +39,62 @@
         if shared.store_health.is_failing() {
             continue;
         }
-        if !is_listed || checks >= CHECKS_PER_LIST {
+        if checks_to_list == 0 {
             // The first list must hold what was written just before all processes were killed.
-            match list(&shared, &mut client, ObjectKind::Marks, is_listed).await {
-                Ok(page) => {
-                    let values = page.items.into_iter().filter_map(|item| item.value);
-                    let marks = values.filter_map(|value| match value {
-                        ObjectValue::Mark(mark) => Some(mark),
-                        _ => None,
-                    });
-                    read_marks(&shared, &mut stored, marks.collect());
-                    shared.has_marks.set(true);
+            let is_stale = is_listed;
+            checks_to_list = match read_marks(&shared, &mut client, &mut stored, is_stale).await {
+                Ok(()) => {
                     is_listed = true;
-                    checks = 0;
+                    CHECKS_PER_LIST
                 }
                 Err(error) => {
                     log::info!("event=mark_list_failed {error}");
-                    continue;
+                    CHECKS_PER_FAILED_LIST
                 }
-            }
+            };
         }
-        checks += 1;
-        let now = Instant::now();
-        let quarantined = shared.core.borrow().crash_tracker.quarantined(now);
-        let changes = stored.changes(&quarantined);
-        for change in changes.into_iter().take(MAX_CHANGES) {
-            if let Err(error) = apply(&shared, &mut client, &mut stored, &change).await {
-                log::info!("event=mark_write_failed {error}");
-                break;
-            }
+        checks_to_list -= 1;
+        // Until the first list, it is not known which marks are stored.
+        if is_listed {
+            write_marks(&shared, &mut client, &mut stored).await;
         }
     }
 }
 
 /// Takes over marks from the store that this host has not seen there yet. They count as seen now:
 /// clocks of hosts differ, and not each sight of a request is written.
-fn read_marks(shared: &Shared, stored: &mut StoredMarks, marks: Vec<CrashReport>) {
-    let new: Vec<CrashReport> = marks
-        .into_iter()
-        .filter(|mark| stored.record_stored(mark))
-        .collect();
-    if new.is_empty() {
-        return;
+async fn read_marks(
+    shared: &Shared,
+    client: &mut StoreClient,
+    stored: &mut StoredMarks,
+    is_stale: bool,
+) -> Result<(), StoreError> {
+    let page = list(shared, client, ObjectKind::Marks, is_stale).await?;
+    let marks = page.items.into_iter().filter_map(|item| match item.value {
+        Some(ObjectValue::Mark(mark)) => Some(mark),
+        _ => None,
+    });
+    let new: Vec<CrashReport> = marks.filter(|mark| stored.record_stored(mark)).collect();
+    shared.has_marks.set(true);
+    if !new.is_empty() {
+        log::info!("event=marks_read count={}", new.len());
+        shared.record_crash_reports(&new);
+        shared.publish(&FeedMessage::Crashes { reports: new });
+    }
+    Ok(())
+}
+
+/// Writes and removes marks, so that the store holds those of the requests that are quarantined now.
+async fn write_marks(shared: &Shared, client: &mut StoreClient, stored: &mut StoredMarks) {
+    let now = Instant::now();
+    let quarantined = shared.core.borrow().crash_tracker.quarantined(now);
+    let changes = stored.changes(&quarantined);
+    for change in changes.into_iter().take(MAX_CHANGES) {
+        if let Err(error) = apply(shared, client, stored, &change).await {
+            log::info!("event=mark_write_failed {error}");
+            return;
+        }
     }
-    log::info!("event=marks_read count={}", new.len());
-    shared.record_crash_reports(&new);
-    shared.publish(&FeedMessage::Crashes { reports: new });
 }
 
 async fn apply(
--- a/crates/cornelwinch_routing/src/crashes.rs
+++ b/crates/cornelwinch_routing/src/crashes.rs
@@ -331,7 +331,7 @@
         marks
     }
 
-    /// Returns the quarantined requests, as they are stored.
+    /// Returns the quarantined requests, sorted by fingerprint.
     pub fn quarantined(&self, now: Instant) -> Vec<CrashReport> {
         self.suspects
             .iter()
--- a/crates/cornelwinch_routing/src/stored_marks.rs
+++ b/crates/cornelwinch_routing/src/stored_marks.rs
@@ -46,7 +46,8 @@
         self.releases.remove(&fingerprint);
     }
 
-    /// Returns the changes that bring the store in line with the requests that are quarantined.
+    /// Returns the changes that bring the store in line with the requests that are quarantined, which
+    /// are sorted by fingerprint.
     pub fn changes(&self, quarantined: &[CrashReport]) -> Vec<MarkChange> {
         let room = MAX_STORED_MARKS.saturating_sub(self.releases.len());
         let is_known = |mark: &&CrashReport| self.releases.get(&mark.fingerprint).is_some();
@@ -54,10 +55,10 @@
         let longer = known
             .iter()
             .filter(|mark| self.releases.get(&mark.fingerprint) < Some(&mark.releases));
-        let ended = self
-            .releases
-            .keys()
-            .filter(|fingerprint| !known.iter().any(|mark| mark.fingerprint == **fingerprint));
+        let ended = self.releases.keys().filter(|fingerprint| {
+            let found = quarantined.binary_search_by_key(*fingerprint, |mark| mark.fingerprint);
+            found.is_err()
+        });
         new.iter()
             .take(room)
             .chain(longer)
