relay: let the first sources write the marks of crashing requests

Cause: each host that follows the store wrote each mark: two calls for a mark today, but 165 at the planned size (computed from the number of sources).

Change: the first two sources write at once, each further two 5 s later if the mark is still missing from the store, and a host that follows the store without being a usual source after 5 s.

--- a/crates/cornelwinch_relay/src/stored_marks.rs
+++ b/crates/cornelwinch_relay/src/stored_marks.rs
@@ -1,7 +1,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use cornelwinch_routing::{CrashReport, MarkChange, StoredMarks};
+use cornelwinch_routing::{CrashReport, MarkChange, StoredMarks, source_count, source_order};
 use hyper::StatusCode;
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -88,7 +88,10 @@
 async fn write_marks(shared: &Shared, client: &mut StoreClient, stored: &mut StoredMarks) {
     let now = Instant::now();
     let quarantined = shared.core.borrow().crash_tracker.quarantined(now);
-    let changes = stored.changes(&quarantined);
+    if quarantined.is_empty() && stored.is_empty() {
+        return;
+    }
+    let changes = stored.take_due_changes(now, &quarantined, writer_place(shared));
     for change in changes.into_iter().take(MAX_CHANGES) {
         if let Err(error) = apply(shared, client, stored, &change).await {
             log::info!("event=mark_write_failed {error}");
@@ -97,6 +100,18 @@
     }
 }
 
+/// Returns the place of this host in the order in which hosts write marks. A host that is no
+/// preferred source follows the store only because it cannot reach one, and may be the only one that
+/// knows a mark.
+fn writer_place(shared: &Shared) -> usize {
+    let this_host = shared.settings.borrow().host.clone();
+    let hosts = shared.hosts.borrow();
+    let order = source_order(&hosts);
+    let rank = order.iter().position(|host| host.name == this_host);
+    rank.filter(|rank| *rank < source_count(hosts.len()))
+        .unwrap_or(StoredMarks::LATE_PLACE)
+}
+
 async fn apply(
     shared: &Shared,
     client: &mut StoreClient,
--- a/crates/cornelwinch_routing/tests/stored_marks.rs
+++ b/crates/cornelwinch_routing/tests/stored_marks.rs
@@ -23,17 +23,20 @@
     crash(&mut tracker, now, request);
     let marks = tracker.quarantined(now);
     assert_eq!(
-        stored.changes(&marks),
+        stored.take_due_changes(now, &marks, 0),
         [MarkChange::Write(marks[0].clone())]
     );
     stored.record_stored(&marks[0]);
-    assert_eq!(stored.changes(&tracker.quarantined(now)), []);
+    assert_eq!(
+        stored.take_due_changes(now, &tracker.quarantined(now), 0),
+        []
+    );
 
     tracker.record_answer(now, request);
-    let changes = stored.changes(&tracker.quarantined(now));
+    let changes = stored.take_due_changes(now, &tracker.quarantined(now), 0);
     assert_eq!(changes, [MarkChange::Remove(request)]);
     stored.record_removed(request);
-    assert_eq!(stored.changes(&[]), []);
+    assert_eq!(stored.take_due_changes(now, &[], 0), []);
 }
 
 /// Guards against a restart that shortens a quarantine which was released without an answer.
@@ -49,7 +52,7 @@
     assert!(tracker.admit(released_at, request));
     let marks = tracker.quarantined(released_at);
     assert_eq!(
-        stored.changes(&marks),
+        stored.take_due_changes(now, &marks, 0),
         [MarkChange::Write(marks[0].clone())]
     );
 
@@ -71,10 +74,42 @@
     }
     let marks = tracker.quarantined(now);
     assert_eq!(marks.len(), 2_000);
-    let changes = stored.changes(&marks);
+    let changes = stored.take_due_changes(now, &marks, 0);
     assert_eq!(changes.len(), 1_024);
     for mark in &marks[..1_024] {
         stored.record_stored(mark);
     }
-    assert_eq!(stored.changes(&marks), []);
+    assert_eq!(stored.take_due_changes(now, &marks, 0), []);
+}
+
+/// Guards against as many writes of a mark as there are hosts that follow the store, and against a
+/// mark that nobody writes because the first hosts have failed.
+#[test]
+fn later_hosts_write_later() {
+    let now = Instant::now();
+    let request = RequestFingerprint::of("/titles/", "");
+    let mut tracker = CrashTracker::default();
+    crash(&mut tracker, now, request);
+    let marks = tracker.quarantined(now);
+    let count_writes = |place: usize, is_read: bool| {
+        let mut stored = StoredMarks::default();
+        (0..10)
+            .map(|second| {
+                if is_read && second == 4 {
+                    stored.record_stored(&marks[0]);
+                }
+                let at = now + Duration::from_secs(second);
+                let changes = stored.take_due_changes(at, &marks, place);
+                changes.iter().for_each(|_| {
+                    stored.record_stored(&marks[0]);
+                });
+                changes.len()
+            })
+            .sum::<usize>()
+    };
+    assert_eq!(
+        [0, 1, 2, 164].map(|place| count_writes(place, true)),
+        [1, 1, 0, 0]
+    );
+    assert_eq!([2, 3, 4].map(|place| count_writes(place, false)), [1, 1, 0]);
 }
