relay: end an outage when a list is answered, not when it was asked for

Cause: since the answer of a list ended an outage at the time at which the list was sent. A list that was sent before the first failed call and answered long after it gave an outage of no length, so that upstreams whose entries had lapsed were dropped at once. Found by reading.

Change: the time of the answer counts, as before.

--- a/crates/cornelwinch_relay/src/follow.rs
+++ b/crates/cornelwinch_relay/src/follow.rs
@@ -225,10 +225,9 @@
     for _ in 0..MAX_LIST_PAGES {
         shared.core.borrow_mut().metrics.store_calls += 1;
         let path = (shared.dialect.store.list_path)(kind, after.as_deref(), stale);
-        let sent_at = Instant::now();
         let body = client.get(&path, STORE_CALL_TIMEOUT).await?;
         // A long list must not count as an outage until its last page.
-        shared.store_health.record_success(sent_at);
+        shared.store_health.record_success(Instant::now());
         let page = (shared.dialect.store.decode_page)(kind, &body)
             .map_err(|reason| StoreError::Decode { reason })?;
         if page.next.is_some() && page.next <= after {
--- a/crates/cornelwinch_relay/src/stored_marks.rs
+++ b/crates/cornelwinch_relay/src/stored_marks.rs
@@ -112,6 +112,7 @@
         .unwrap_or(StoredMarks::LATE_PLACE)
 }
 
+/// Makes one change in the store.
 async fn apply(
     shared: &Shared,
     client: &mut StoreClient,
