relay: list stored marks each 3 s

Cause: marks were listed each 4 s, and hosts have to know of one within 4 s.

Change: the interval is 3 s, at a tenth of a call each. The bound of the test stays 4 s.

--- a/crates/cornelwinch_relay/src/stored_marks.rs
+++ b/crates/cornelwinch_relay/src/stored_marks.rs
@@ -14,9 +14,9 @@
 /// Interval between two checks for marks that have to be written or removed.
 const WRITE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Number of such checks between two lists of the stored marks. Lists may be seconds old, which
-/// costs a tenth of a call.
-const CHECKS_PER_LIST: u32 = 8;
+/// Number of such checks between two lists of the stored marks. Hosts have to know of a mark within
+/// their recovery time, 4 s or more. Lists may be seconds old, which costs a tenth of a call.
+const CHECKS_PER_LIST: u32 = 6;
 
 /// Number of such checks between two lists while they fail.
 const CHECKS_PER_FAILED_LIST: u32 = 4;
