relay: bound what endless bodies hold together

With bodies only, 240 requests took 150 to 227 MB and 720 took 250 MB of a host with 260 MB, which would end its process and all requests on it.

Cause: bodies of up to 64 KiB had no bound on their sum; the HTTP library's buffers grew to 64 KiB for each connection; a body was collected in one buffer that doubled, whose copies left holes in the heap (150 MB in use, 194 MB resident).

Change: all bodies share a fifth of the memory, the last fifth of it is kept for small ones, and only 8 KiB are always read. A connection reads less than 8 KiB at a time, so its buffers stay at 8 to 16 KiB. Bodies are collected in parts of 64 KiB.

--- a/crates/cornelwinch_http/src/read_limit.rs
+++ b/crates/cornelwinch_http/src/read_limit.rs
@@ -7,6 +7,10 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+/// Bytes that are read at once. The HTTP library starts with buffers of 8 KiB and doubles them when a
+/// read fills them.
+const READ_BYTES: usize = 8 * 1024 - 1;
+
 /// Bound on the bytes that are read from a connection, whatever part of an answer they belong to.
 ///
 /// A decoder bounds the parts of an answer that it keeps. Parts that it drops, such as interim
@@ -70,9 +74,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        Poll::Ready(self.limit.take(buf.filled().len() - before))
+        let len = buf.remaining().min(READ_BYTES);
+        let mut part = ReadBuf::new(buf.initialize_unfilled_to(len));
+        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
+        let read = part.filled().len();
+        buf.advance(read);
+        Poll::Ready(self.limit.take(read))
     }
 }
 
--- a/crates/cornelwinch_relay/src/answer_memory.rs
+++ b/crates/cornelwinch_relay/src/answer_memory.rs
@@ -3,10 +3,16 @@
 
 use bytes::Bytes;
 
-/// Size up to which an answer is always read. The answers of sound upstreams are mostly smaller,
+/// Size up to which an answer is always read.
+const TINY_ANSWER_BYTES: usize = 8 * 1024;
+
+/// Size up to which an answer may use the reserve. The answers of sound upstreams are mostly smaller,
 /// and are so not affected by those that fill the memory.
 const SMALL_ANSWER_BYTES: usize = 64 * 1024;
 
+/// Part of the memory that is kept for small answers, as a divisor.
+const SMALL_ANSWERS_DIVISOR: usize = 5;
+
 /// Size up to which an answer is not tracked while it is written, half of the send buffer that a socket starts with.
 const UNTRACKED_BYTES: usize = 8 * 1024;
 
@@ -18,7 +24,7 @@
 }
 
 impl AnswerMemory {
-    /// Creates the count with the number of bytes that larger answers may take together.
+    /// Creates the count with the number of bytes that answers may take together.
     pub(crate) fn new(limit: usize) -> Self {
         Self {
             used: Arc::default(),
@@ -62,7 +68,15 @@
     pub(crate) fn add(&mut self, bytes: usize) -> bool {
         self.held += bytes;
         let used = self.used.fetch_add(bytes, Ordering::Relaxed) + bytes;
-        self.held <= SMALL_ANSWER_BYTES || used <= self.limit
+        if self.held <= TINY_ANSWER_BYTES {
+            return true;
+        }
+        let reserve = if self.held <= SMALL_ANSWER_BYTES {
+            0
+        } else {
+            self.limit / SMALL_ANSWERS_DIVISOR
+        };
+        used <= self.limit - reserve
     }
 }
 
--- a/crates/cornelwinch_relay/src/body.rs
+++ b/crates/cornelwinch_relay/src/body.rs
@@ -15,6 +15,9 @@
 /// Bytes that are read for each byte of a body in addition to [`MAX_FRAMING_BYTES`].
 const READ_BYTES_PER_BODY_BYTE: usize = 2;
 
+/// Size of the parts in which a body is read.
+const PART_BYTES: usize = 64 * 1024;
+
 /// Error of a body that is larger than it may be, or for which there is no memory.
 #[derive(Debug, Snafu)]
 #[snafu(display("more than {limit} bytes, or no memory for them"))]
@@ -33,17 +36,17 @@
     limit: usize,
     mut held: Option<AnswerBytes>,
 ) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
-    let mut whole = BytesMut::new();
+    let mut parts = BodyParts::default();
     while let Some(frame) = body.frame().await {
         // Trailers are bounded by the HTTP library and dropped.
         let Ok(data) = frame?.into_data() else {
             continue;
         };
-        if whole.len() + data.len() > limit {
+        if parts.len + data.len() > limit {
             return TooLargeSnafu { limit }.fail()?;
         }
         read_limit.extend(data.len().saturating_mul(READ_BYTES_PER_BODY_BYTE));
-        if whole.is_empty() && body.is_end_stream() {
+        if parts.len == 0 && body.is_end_stream() {
             let Some(mut held) = held else {
                 return Ok(data);
             };
@@ -52,17 +55,51 @@
             }
             return Ok(held.keep(data));
         }
-        let capacity = whole.capacity();
-        whole.reserve(data.len());
-        let growth = whole.capacity() - capacity;
+        let growth = parts.push(&data);
         if held.as_mut().is_some_and(|held| !held.add(growth)) {
             return TooLargeSnafu { limit }.fail()?;
         }
-        whole.extend_from_slice(&data);
     }
-    let whole = whole.freeze();
+    let whole = parts.join();
     Ok(match held {
         Some(held) => held.keep(whole),
         None => whole,
     })
 }
+
+/// A body while it is read. One buffer that grows with a large body is copied again and again, and
+/// leaves holes in the heap that other answers can't use; parts of one size don't.
+#[derive(Debug, Default)]
+struct BodyParts {
+    full: Vec<Bytes>,
+    last: BytesMut,
+    len: usize,
+}
+
+impl BodyParts {
+    /// Adds bytes and returns the number of bytes by which the memory has grown.
+    fn push(&mut self, mut data: &[u8]) -> usize {
+        let mut growth = 0;
+        self.len += data.len();
+        while !data.is_empty() {
+            if self.last.len() == PART_BYTES {
+                self.full.push(self.last.split().freeze());
+            }
+            let (head, rest) = data.split_at(data.len().min(PART_BYTES - self.last.len()));
+            let capacity = self.last.capacity();
+            self.last.reserve(head.len());
+            growth += self.last.capacity() - capacity;
+            self.last.extend_from_slice(head);
+            data = rest;
+        }
+        growth
+    }
+
+    fn join(mut self) -> Bytes {
+        if self.full.is_empty() {
+            return self.last.freeze();
+        }
+        self.full.push(self.last.freeze());
+        self.full.concat().into()
+    }
+}
--- a/crates/cornelwinch_relay/src/settings.rs
+++ b/crates/cornelwinch_relay/src/settings.rs
@@ -11,7 +11,7 @@
 use crate::error::ReadSettingsSnafu;
 
 /// Share of the process's memory that answers of upstreams may take while they are read.
-const ANSWER_MEMORY_RATIO: f64 = 0.25;
+const ANSWER_MEMORY_RATIO: f64 = 0.2;
 
 /// Memory of the process if the settings state none, in MiB.
 const DEFAULT_MEMORY_MB: u64 = 256;
