--- a/crates/cornelwinch_http/src/lib.rs
+++ b/crates/cornelwinch_http/src/lib.rs
@@ -13,6 +13,7 @@
 mod read_limit;
 mod request;
 mod responder;
+mod seconds;
 mod thread;
 
 pub use client::{HttpConnection, HttpSender, connect};
@@ -20,4 +21,5 @@
 pub use read_limit::ReadLimit;
 pub use request::HttpRequest;
 pub use responder::Responder;
+pub use seconds::format_seconds;
 pub use thread::{HttpLimits, HttpServer, HttpThread, bind};
--- a/crates/cornelwinch_relay/src/answer.rs
+++ b/crates/cornelwinch_relay/src/answer.rs
@@ -1,6 +1,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use cornelwinch_http::format_seconds;
 use http_body_util::Full;
 use hyper::header::{self, HeaderValue};
 use hyper::{Response, StatusCode};
@@ -68,10 +69,7 @@
     /// the caller may retry.
     pub(crate) fn not_run_for(reason: &'static str, time: Duration) -> Self {
         let mut reply = Self::error(StatusCode::SERVICE_UNAVAILABLE, Outcome::NotRun, reason);
-        // Rounded up, so that a caller does not return before the time.
-        let millis = time.as_nanos().div_ceil(1_000_000);
-        let seconds = format!("{}.{:03}", millis / 1_000, millis % 1_000);
-        let value = HeaderValue::from_str(&seconds).expect("digits are a valid value");
+        let value = HeaderValue::from_str(&format_seconds(time)).expect("digits are a valid value");
         reply
             .response
             .headers_mut()
