--- a/crates/cornelwinch_relay/src/answer_memory.rs
+++ b/crates/cornelwinch_relay/src/answer_memory.rs
@@ -10,8 +10,8 @@
 /// and are so not affected by those that fill the memory.
 const SMALL_ANSWER_BYTES: usize = 64 * 1024;
 
-/// Part of the memory that is kept for small answers, as a divisor.
-const SMALL_ANSWERS_DIVISOR: usize = 5;
+/// The limit divided by this is the reserve for small answers.
+const RESERVE_DIVISOR: usize = 5;
 
 /// Size up to which an answer is not tracked while it is written, half of the send buffer that a socket starts with.
 const UNTRACKED_BYTES: usize = 8 * 1024;
@@ -74,7 +74,7 @@
         let reserve = if self.held <= SMALL_ANSWER_BYTES {
             0
         } else {
-            self.limit / SMALL_ANSWERS_DIVISOR
+            self.limit / RESERVE_DIVISOR
         };
         used <= self.limit - reserve
     }
--- a/crates/cornelwinch_relay/src/body.rs
+++ b/crates/cornelwinch_relay/src/body.rs
@@ -67,8 +67,8 @@
     })
 }
 
-/// A body while it is read. One buffer that grows with a large body is copied again and again, and
-/// leaves holes in the heap that other answers can't use; parts of one size don't.
+/// A body while it is read. It is kept in parts of one size, since the copies of one growing buffer
+/// leave holes in the heap that the next, larger copy can't use.
 #[derive(Debug, Default)]
 struct BodyParts {
     full: Vec<Bytes>,
