relay: count the parts of a body by what they allocate

Cause: after a part was full, the growth of the next one was counted from the capacity left over by the first, so up to 64 KiB of each further part were not counted. Found by reading.

Change: a part grows to a power of two, at most to its full size, and the count follows its capacity.

--- a/crates/cornelwinch_relay/src/body.rs
+++ b/crates/cornelwinch_relay/src/body.rs
@@ -1,6 +1,7 @@
 use std::error::Error;
+use std::mem;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use cornelwinch_http::ReadLimit;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -15,7 +16,7 @@
 /// Bytes that are read for each byte of a body in addition to [`MAX_FRAMING_BYTES`].
 const READ_BYTES_PER_BODY_BYTE: usize = 2;
 
-/// Size of the parts in which a body is read.
+/// Size of the parts in which a body is kept while it is read, a power of two.
 const PART_BYTES: usize = 64 * 1024;
 
 /// Error of a body that is larger than it may be, or for which there is no memory.
@@ -71,8 +72,8 @@
 /// leave holes in the heap that the next, larger copy can't use.
 #[derive(Debug, Default)]
 struct BodyParts {
-    full: Vec<Bytes>,
-    last: BytesMut,
+    full: Vec<Vec<u8>>,
+    last: Vec<u8>,
     len: usize,
 }
 
@@ -83,23 +84,35 @@
         self.len += data.len();
         while !data.is_empty() {
             if self.last.len() == PART_BYTES {
-                self.full.push(self.last.split().freeze());
+                self.full.push(mem::take(&mut self.last));
             }
             let (head, rest) = data.split_at(data.len().min(PART_BYTES - self.last.len()));
-            let capacity = self.last.capacity();
-            self.last.reserve(head.len());
-            growth += self.last.capacity() - capacity;
+            growth += self.reserve(head.len());
             self.last.extend_from_slice(head);
             data = rest;
         }
         growth
     }
 
+    fn reserve(&mut self, additional: usize) -> usize {
+        let (len, capacity) = (self.last.len(), self.last.capacity());
+        if additional <= capacity - len {
+            return 0;
+        }
+        let wanted = if self.full.is_empty() {
+            (len + additional).next_power_of_two()
+        } else {
+            PART_BYTES
+        };
+        self.last.reserve_exact(wanted - len);
+        self.last.capacity() - capacity
+    }
+
     fn join(mut self) -> Bytes {
         if self.full.is_empty() {
-            return self.last.freeze();
+            return self.last.into();
         }
-        self.full.push(self.last.freeze());
+        self.full.push(self.last);
         self.full.concat().into()
     }
 }
