--- a/crates/cornelwinch_relay/src/body.rs
+++ b/crates/cornelwinch_relay/src/body.rs
@@ -94,6 +94,7 @@
         growth
     }
 
+    /// Makes room in the last part and returns the growth of its memory.
     fn reserve(&mut self, additional: usize) -> usize {
         let (len, capacity) = (self.last.len(), self.last.capacity());
         if additional <= capacity - len {
