--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -3,6 +3,7 @@
 //! runs without its disruption.
 //! The stand-ins themselves are those of the second review.
 
+mod dark_crash;
 #[path = "../standins-2/http.rs"]
 mod http;
 #[path = "../standins-2/leaf.rs"]
@@ -58,6 +59,7 @@
         has_trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let verdict = match name.as_str() {
+        "dark_crash" => dark_crash::run(&setup),
         "same_id" => same_id::run(&setup),
         _ => Verdict::CouldNotRun("no such case".to_owned()),
     };
