review 11: a tenant's request that crashes leafs hides behind another's

Cause: a request is identified by its path and body, so an answer to another tenant's request for the same path ends the suspicion, for 60 s each.

--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -15,6 +15,7 @@
 #[path = "../standins-2/requesters.rs"]
 mod requesters;
 mod same_id;
+mod same_path;
 #[path = "../standins-2/store.rs"]
 mod store;
 
@@ -60,6 +61,7 @@
     };
     let verdict = match name.as_str() {
         "dark_crash" => dark_crash::run(&setup),
+        "same_path" => same_path::run(&setup),
         "same_id" => same_id::run(&setup),
         _ => Verdict::CouldNotRun("no such case".to_owned()),
     };
