--- a/review/standins-3/dark_crash.rs
+++ b/review/standins-3/dark_crash.rs
@@ -22,26 +22,27 @@
 /// Time after which a crashed leaf is back: "some seconds".
 const BACK_AFTER: Duration = Duration::from_secs(3);
 /// Time budget of the request, as on the site.
-const TIME_BUDGET: Duration = Duration::from_millis(6_000);
+const TIME_BUDGET: Duration = Duration::from_millis(5_000);
 /// Time between two retries of the request that crashes leafs, and their number.
 const GAP: Duration = Duration::from_secs(7);
 const ATTEMPTS: usize = 10;
-const WORK: Duration = Duration::from_millis(90);
+const WORK: Duration = Duration::from_millis(120);
 
-/// Machines of the site, and zones of its eleven leafs of `clinic-link`.
-const MACHINES: [(&str, &str); 4] = [
-    ("front-marka-1", "marka"),
-    ("front-marka-2", "marka"),
-    ("front-sweileh-1", "sweileh"),
-    ("front-tlaa-ali-1", "tlaa-ali"),
+/// Machines of the site, and its leafs of `atelier-prepresse`.
+const MACHINES: [(&str, &str); 5] = [
+    ("front-charguia-1", "charguia"),
+    ("front-charguia-2", "charguia"),
+    ("front-ariana-1", "ariana"),
+    ("front-lac-deux-1", "lac-deux"),
+    ("front-ben-arous-1", "ben-arous"),
 ];
-const ZONES: [&str; 3] = ["marka", "sweileh", "tlaa-ali"];
-const LEAFS: usize = 11;
+const ZONES: [&str; 4] = ["charguia", "ariana", "lac-deux", "ben-arous"];
+const LEAFS: usize = 26;
 
 const DESIRED: &str = r#"{"version":7,
-"routes":[{"name":"r-status","host":"clinic.example","path_prefix":"/status/","route_kind":"idempotent","timeout_ms":6000,"latency_goal_ms":400,"priority":2,"service":"clinic-link","attempts":2},
-{"name":"r-orders","host":"clinic.example","path_prefix":"/orders/","route_kind":"non_idempotent","timeout_ms":6000,"latency_goal_ms":400,"priority":2,"service":"clinic-link","attempts":1}],
-"services":[{"name":"clinic-link","health_path":"/health","max_conns":43,"protocol":"h1","tls":false,"cold_s":3.0,"cold_per_s":0.0}],
+"routes":[{"name":"r-sheet","host":"sheets.example","path_prefix":"/sheet/","route_kind":"idempotent","timeout_ms":5000,"latency_goal_ms":500,"priority":2,"service":"atelier-prepresse","attempts":2},
+{"name":"r-orders","host":"sheets.example","path_prefix":"/orders/","route_kind":"non_idempotent","timeout_ms":5000,"latency_goal_ms":500,"priority":2,"service":"atelier-prepresse","attempts":1}],
+"services":[{"name":"atelier-prepresse","health_path":"/health","max_conns":110,"protocol":"h1","tls":false,"cold_s":3.0,"cold_per_s":0.0}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
 
 /// Crashes of leafs by the request, in the order of time, and the attempts that reached leafs.
@@ -83,7 +84,7 @@
     sleep(Duration::from_secs(6));
     let load = Load {
         method: "POST",
-        host: "clinic.example",
+        host: "sheets.example",
         path: "/orders/",
         key: None,
         deadline: TIME_BUDGET,
@@ -101,14 +102,14 @@
         let at = Instant::now();
         record.line(&format!("requester sends id={id} machine={}", relay.name));
         let headers = [
-            ("Host", "clinic.example"),
+            ("Host", "sheets.example"),
             ("Request-Id", id.as_str()),
-            ("Deadline-Ms", "6000"),
+            ("Deadline-Ms", "5000"),
         ];
         let answer = call(
             relay.caller,
             "GET",
-            "/status/crash",
+            "/sheet/crash",
             &headers,
             &[],
             TIME_BUDGET,
@@ -175,7 +176,7 @@
             let born = born.expect("after 1970").as_millis();
             let cold_ms = if run > 0 { 3_000 } else { 0 };
             let spec = format!(
-                "{{\"service\":\"clinic-link\",\"addr\":\"{addr}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":4,\"state\":\"ready\",\"cold_left_ms\":{cold_ms},\"born\":{born},\"seq\":1}}"
+                "{{\"service\":\"atelier-prepresse\",\"addr\":\"{addr}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":2,\"state\":\"ready\",\"cold_left_ms\":{cold_ms},\"born\":{born},\"seq\":1}}"
             );
             place.store.put("servers", &life.id, &spec);
             place.record.line(&format!("leaf={} registered", life.id));
@@ -187,7 +188,7 @@
             } else {
                 drop(listener.set_nonblocking(false));
                 sleep(BACK_AFTER);
-                // Three check-in intervals without the leaf have passed.
+                // An entry goes after three check-in intervals of silence, 2.4 to 3.6 s after the crash.
                 place.store.delete("servers", &life.id);
                 continue;
             }
--- a/review/standins-3/same_id.rs
+++ b/review/standins-3/same_id.rs
@@ -18,12 +18,16 @@
 
 /// `stable_window_ms` of the site.
 const STABLE_WINDOW: Duration = Duration::from_millis(5_000);
+/// `drain_ms` of the site.
+const DRAIN: Duration = Duration::from_millis(5_000);
 const MOST_RETRIES: usize = 3;
 /// Time after which a crashed leaf is back: "some seconds".
 const BACK_AFTER: Duration = Duration::from_secs(3);
 /// Time between two retries of the request that crashes leafs, and their number.
-const GAP: Duration = Duration::from_secs(5);
-const ATTEMPTS: usize = 10;
+const GAP: Duration = Duration::from_millis(5_500);
+const ATTEMPTS: usize = 8;
+/// Shards of `slot-portal`, with a leaf in each zone. No request goes there.
+const SHARDS: usize = 36;
 
 /// Machines, one in each zone of the site.
 const MACHINES: [(&str, &str); 3] = [
@@ -33,11 +37,30 @@
 ];
 const ZONES: [&str; 3] = ["tmk-quay", "otr-quay", "kus-quay"];
 
-const DESIRED: &str = r#"{"version":7,
-"routes":[{"name":"r-bookings","host":"berths.example","path_prefix":"/bookings/","route_kind":"idempotent","timeout_ms":2500,"latency_goal_ms":300,"priority":1,"service":"vessel-notice","attempts":2},
-{"name":"r-orders","host":"berths.example","path_prefix":"/orders/","route_kind":"non_idempotent","timeout_ms":2500,"latency_goal_ms":300,"priority":1,"service":"vessel-notice","attempts":1}],
-"services":[{"name":"vessel-notice","health_path":"/health","max_conns":550,"protocol":"h1","tls":false,"cold_s":3.0,"cold_per_s":0.0}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
+/// Returns the desired state: a single service that two routes use, and the shards.
+fn desired() -> String {
+    let shards: Vec<String> = (0..SHARDS)
+        .map(|shard| format!("slot-portal~{shard}"))
+        .collect();
+    let names: Vec<String> = shards.iter().map(|name| format!("\"{name}\"")).collect();
+    let names = names.join(",");
+    let service = |name: &str, max_conns: u32| {
+        format!(
+            r#"{{"name":"{name}","health_path":"/health","max_conns":{max_conns},"protocol":"h1","tls":false,"cold_s":3.0,"cold_per_s":0.0}}"#
+        )
+    };
+    let mut services: Vec<String> = shards.iter().map(|name| service(name, 72)).collect();
+    services.push(service("vessel-notice", 550));
+    let services = services.join(",");
+    format!(
+        r#"{{"version":7,
+"routes":[{{"name":"r-bookings","host":"berths.example","path_prefix":"/bookings/","route_kind":"idempotent","timeout_ms":2500,"latency_goal_ms":300,"priority":1,"service":"vessel-notice","attempts":2}},
+{{"name":"r-orders","host":"berths.example","path_prefix":"/orders/","route_kind":"non_idempotent","timeout_ms":2500,"latency_goal_ms":300,"priority":1,"service":"vessel-notice","attempts":1}},
+{{"name":"r-slots","host":"berths.example","path_prefix":"/slots/","route_kind":"idempotent","timeout_ms":800,"latency_goal_ms":150,"priority":1,"gather":[{names}],"top_k":20,"min_fraction":0.95,"attempts":2}}],
+"services":[{services}],
+"limits":{{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
+    )
+}
 
 /// Crashes of leafs by the request, in the order of time, and the attempts that reached leafs.
 #[derive(Default)]
@@ -45,19 +68,44 @@
     at: Vec<Instant>,
     reached: BTreeMap<String, Instant>,
     lost: usize,
+    /// Starts of leafs under a new id, and under the one that the leaf had.
+    starts_new: usize,
+    starts_kept: usize,
 }
 
 pub fn run(setup: &Setup) -> Verdict {
     let record = &setup.record;
     let store = Store::start(bind());
-    store.put("config", "main", DESIRED);
+    store.put("config", "main", &desired());
     let crashes = Arc::new(Mutex::new(Crashes::default()));
     let is_over = Arc::new(AtomicBool::new(false));
+    let is_scaled_in = Arc::new(AtomicBool::new(false));
+    for shard in 0..SHARDS {
+        let service: &'static str = format!("slot-portal~{shard}").leak();
+        for zone in ZONES {
+            let config = LeafConfig {
+                id: format!("s-{shard}-{zone}").leak(),
+                service,
+                zone,
+                slots: 4,
+                work: Duration::from_millis(8),
+                crash_above: None,
+            };
+            Leaf::start(config, bind(), record.clone()).register(&store, "ready", 0);
+            crashes.lock().expect("not poisoned").starts_new += 1;
+        }
+    }
     let keeps_id = setup.has_trouble;
     for number in 0..ZONES.len() {
         let (store, record) = (store.clone(), record.clone());
         let (crashes, is_over) = (crashes.clone(), is_over.clone());
-        thread::spawn(move || keep_leaf(number, keeps_id, &store, &record, &crashes, &is_over));
+        let leaves = (number == ZONES.len() - 1).then(|| is_scaled_in.clone());
+        thread::spawn(move || {
+            let leaves = leaves.as_deref();
+            keep_leaf(
+                number, keeps_id, leaves, &store, &record, &crashes, &is_over,
+            );
+        });
     }
     let relays = MACHINES.map(|(name, zone)| {
         let settings = Settings {
@@ -73,9 +121,10 @@
         return Verdict::CouldNotRun("a machine is not ready".to_owned());
     }
     sleep(Duration::from_secs(6));
-    record.show("the operator has the zone kus-quay emptied");
-    store.put("evacuations", "kus-quay", "{}");
-    sleep(Duration::from_secs(6));
+    record.show("one of the three leafs is emptied and taken away");
+    is_scaled_in.store(true, Ordering::SeqCst);
+    // It is gone after `drain_ms` and a little longer; then all is calm for the stable window.
+    sleep(DRAIN + Duration::from_secs(1) + STABLE_WINDOW);
     let load = Load {
         method: "POST",
         host: "berths.example",
@@ -120,6 +169,10 @@
         crashes.lost,
         sent.len()
     ));
+    record.show(&format!(
+        "starts of leafs: {} under a new id, {} under the id that the leaf had",
+        crashes.starts_new, crashes.starts_kept
+    ));
     let late = crashes
         .reached
         .values()
@@ -140,6 +193,7 @@
 fn keep_leaf(
     number: usize,
     keeps_id: bool,
+    leaves: Option<&AtomicBool>,
     store: &Store,
     record: &Arc<Record>,
     crashes: &Mutex<Crashes>,
@@ -161,6 +215,13 @@
             crash_above: None,
         };
         let id = config.id;
+        {
+            let mut crashes = crashes.lock().expect("not poisoned");
+            match keeps_id && run > 0 {
+                true => crashes.starts_kept += 1,
+                false => crashes.starts_new += 1,
+            }
+        }
         let leaf = Leaf::start(config, listener, record.clone());
         leaf.register(store, "ready", if run > 0 { 3_000 } else { 0 });
         loop {
@@ -168,6 +229,13 @@
             if is_over.load(Ordering::SeqCst) {
                 return;
             }
+            if leaves.is_some_and(|leaves| leaves.load(Ordering::SeqCst)) {
+                leaf.register(store, "draining", 0);
+                sleep(DRAIN + Duration::from_millis(500));
+                store.delete("servers", id);
+                leaf.end("left");
+                return;
+            }
             let arrivals = leaf.arrivals();
             let Some(crash) = arrivals.iter().find(|a| a.request_id.starts_with('x')) else {
                 continue;
@@ -184,7 +252,7 @@
         }
         sleep(BACK_AFTER);
         if !keeps_id {
-            // Three check-in intervals without the leaf have passed.
+            // An entry goes after three check-in intervals of silence, 2.4 to 3.6 s after the crash.
             store.delete("servers", id);
         }
         listener = loop {
--- a/review/standins-3/same_path.rs
+++ b/review/standins-3/same_path.rs
@@ -22,7 +22,7 @@
 /// Time after which a crashed leaf is back, under a new id: "some seconds".
 const BACK_AFTER: Duration = Duration::from_secs(3);
 /// Time between two retries of the request that crashes leafs, and their number.
-const GAP: Duration = Duration::from_secs(5);
+const GAP: Duration = Duration::from_millis(5_500);
 const ATTEMPTS: usize = 10;
 
 const MACHINES: [(&str, &str); 4] = [
@@ -217,7 +217,7 @@
             break;
         }
         sleep(BACK_AFTER);
-        // Three check-in intervals without the leaf have passed.
+        // An entry goes after three check-in intervals of silence, 2.4 to 3.6 s after the crash.
         store.delete("servers", id);
         listener = loop {
             if let Ok(listener) = TcpListener::bind(addr) {
